--- /dev/null
+++ b/src/main/java/gatelock/bench/Fields.java
@@ -0,0 +1,114 @@
+package gatelock.bench;
+
+import gatelock.relay.Load;
+
+import java.util.Map;
+
+/** The fields of one line, read in order. */
+final class Fields {
+    private final String line;
+    private final String name;
+    private int at;
+
+    Fields(String line) {
+        this.line = line;
+        this.name = field();
+    }
+
+    String name() {
+        return name;
+    }
+
+    private String field() {
+        if (at > line.length()) {
+            return "";
+        }
+        int end = line.indexOf(' ', at);
+        String part = line.substring(at, end < 0 ? line.length() : end);
+        at += part.length() + 1;
+        return part;
+    }
+
+    String text(String what) {
+        String part = field();
+        if (part.isEmpty() || part.equals("-")) {
+            throw new MalformedLine("expected " + what + " in " + name);
+        }
+        return part;
+    }
+
+    String rest() {
+        return at > line.length() ? "" : line.substring(at);
+    }
+
+    long number(String what) {
+        return parse(text(what), what);
+    }
+
+    long numberOr(long absent) {
+        String part = field();
+        return part.isEmpty() || part.equals("-") ? absent : parse(part, "a whole number");
+    }
+
+    double realOr(double absent) {
+        String part = field();
+        return part.isEmpty() || part.equals("-") ? absent : real(part);
+    }
+
+    int code(String what, int codes) {
+        long value = number(what);
+        if (value < 0 || value >= codes) {
+            throw new MalformedLine("expected " + what + " below " + codes + " in " + name + ", found " + value);
+        }
+        return (int) value;
+    }
+
+    <T> T oneOf(Map<String, T> words, String what) {
+        String part = text(what);
+        T value = words.get(part);
+        if (value == null) {
+            throw new MalformedLine("expected " + what + " in " + name + ", found " + part);
+        }
+        return value;
+    }
+
+    Load load() {
+        String part = field();
+        if (part.isEmpty() || part.equals("-")) {
+            return Load.NONE;
+        }
+        double active = Double.NaN;
+        double waiting = Double.NaN;
+        double cpu = Double.NaN;
+        for (String pair : part.split(",")) {
+            int colon = pair.indexOf(':');
+            if (colon < 0) {
+                throw new MalformedLine("expected name:value in " + name + ", found " + pair);
+            }
+            double value = real(pair.substring(colon + 1));
+            switch (pair.substring(0, colon)) {
+                case "active" -> active = value;
+                case "waiting" -> waiting = value;
+                case "cpu" -> cpu = value;
+                default -> { }
+            }
+        }
+        return new Load(active, waiting, cpu);
+    }
+
+    private long parse(String part, String what) {
+        try {
+            return Long.parseLong(part);
+        } catch (NumberFormatException e) {
+            throw new MalformedLine("expected " + what + " in " + name + ", found " + part);
+        }
+    }
+
+    private double real(String part) {
+        try {
+            return Double.parseDouble(part);
+        } catch (NumberFormatException e) {
+            throw new MalformedLine("expected a number in " + name + ", found " + part);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gatelock/bench/Terms.java
@@ -0,0 +1,113 @@
+package gatelock.bench;
+
+import gatelock.relay.Charter;
+import gatelock.relay.Rollout;
+import gatelock.relay.Route;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Decodes what an instance is told at its start; times become microseconds, rounded to the safe side. */
+final class Terms {
+    private final Map<String, String> pairs = new HashMap<>();
+
+    private Terms(String info) {
+        for (String pair : info.split(" ")) {
+            int eq = pair.indexOf('=');
+            if (eq > 0) {
+                pairs.put(pair.substring(0, eq), pair.substring(eq + 1));
+            }
+        }
+    }
+
+    static long atLeastOne(long ns) {
+        return ns > 0 ? Math.max(1, ns / 1000) : 0;
+    }
+
+    static Charter read(long seed, String info) {
+        Terms t = new Terms(info);
+        List<Route> routes = new ArrayList<>();
+        for (int i = 0; i < t.whole("lanes.count", 0); i++) {
+            String p = "lanes." + i + ".";
+            routes.add(new Route(t.word(p + "effect", Map.of("repeatable", Route.Repeat.RETRIABLE,
+                    "by_key", Route.Repeat.DEDUPED, "once", Route.Repeat.NON_RETRIABLE),
+                Route.Repeat.NON_RETRIABLE),
+                t.word(p + "dedupScope", Map.of("all", Route.Group.ALL, "zone", Route.Group.ZONE,
+                    "cell", Route.Group.CELL), Route.Group.CELL),
+                t.us(p + "keyTtlNs"), t.us(p + "targetNs"), t.us(p + "deadlineNs"),
+                t.real(p + "worth", 1), t.real(p + "lateWorth", 0)));
+        }
+        List<Charter.Tenant> tenants = new ArrayList<>();
+        for (int i = 0; i < t.whole("orgs.count", 0); i++) {
+            tenants.add(new Charter.Tenant(t.real("orgs." + i + ".quotaPerS", 0)));
+        }
+        Rollout rollout = new Rollout(
+            t.word("familyInfo.gateMode", Map.of("first_voice", Rollout.Gatekeeping.FIRST_VOICE,
+                "by_count", Rollout.Gatekeeping.COUNT, "automatic", Rollout.Gatekeeping.CLOCK),
+                Rollout.Gatekeeping.COUNT),
+            t.us("familyInfo.bakeNs"), t.us("familyInfo.voteLifeNs"), t.us("familyInfo.voteWaitNs"),
+            t.reals("familyInfo.exposureCaps"), (int) t.whole("familyInfo.guardedStages", 0),
+            "each_class".equals(t.pairs.get("familyInfo.capScope")), t.yes("familyInfo.forwardOnly"),
+            t.real("familyInfo.free", 0), t.real("familyInfo.foundShare", 0));
+        long warmNs = t.whole("safety.warmWithinNs", 0);
+        return new Charter(seed, (int) t.whole("replicasOfMe", 1), (int) t.whole("locality", 0),
+            t.real("costs.crossZone", 0), routes, tenants, t.real("overShareWorth", 1),
+            t.yes("limits.parallelTries"), (int) t.whole("limits.tryLimit", 1), t.yes("limits.mayCancel"),
+            t.yes("limits.retryAfter"), t.us("limits.maxRetryAfterNs"),
+            "on_request".equals(t.pairs.get("discovery")), t.real("safety.coldFrom", 1),
+            (warmNs + 999) / 1000, t.real("safety.overloadFactor", 1), t.us("safety.fallNs"), rollout);
+    }
+
+    private long us(String path) {
+        return atLeastOne(whole(path, 0));
+    }
+
+    private boolean yes(String path) {
+        String value = pairs.get(path);
+        return "true".equals(value) || "1".equals(value);
+    }
+
+    private <T> T word(String path, Map<String, T> words, T absent) {
+        String value = pairs.get(path);
+        if (value == null || value.equals("-")) {
+            return absent;
+        }
+        T found = words.get(value);
+        if (found == null) {
+            throw new MalformedLine("expected a known value for " + path + ", found " + value);
+        }
+        return found;
+    }
+
+    private long whole(String path, long absent) {
+        return (long) real(path, absent);
+    }
+
+    private double real(String path, double absent) {
+        String value = pairs.get(path);
+        return value == null || value.equals("-") ? absent : number(path, value);
+    }
+
+    private double[] reals(String path) {
+        String value = pairs.get(path);
+        if (value == null || value.isEmpty() || value.equals("-")) {
+            return new double[0];
+        }
+        String[] parts = value.split(",");
+        double[] numbers = new double[parts.length];
+        for (int i = 0; i < parts.length; i++) {
+            numbers[i] = number(path, parts[i]);
+        }
+        return numbers;
+    }
+
+    private static double number(String path, String value) {
+        try {
+            return Double.parseDouble(value);
+        } catch (NumberFormatException e) {
+            throw new MalformedLine("expected a number for " + path + ", found " + value);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gatelock/bench/Wirehost.java
@@ -0,0 +1,294 @@
+package gatelock.bench;
+
+import gatelock.decision.ReleaseGate;
+import gatelock.relay.Ending;
+import gatelock.relay.Gate;
+import gatelock.relay.Handle;
+import gatelock.relay.Listed;
+import gatelock.relay.Load;
+import gatelock.relay.Outlet;
+import gatelock.relay.Verdict;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Hosts many relays on the simulator's lines: standard input to standard output, a reply for each batch. */
+public final class Wirehost {
+
+    private static final Map<String, Ending> ENDINGS = Map.of("done", Ending.COMPLETED, "err", Ending.ERRORED,
+            "busy", Ending.TURNED_AWAY, "etimedout", Ending.TIMED_OUT, "econnrefused", Ending.NOT_CONNECTED,
+            "econnreset", Ending.BROKEN_OFF, "ecanceled", Ending.CANCELLED, "skipped", Ending.NOT_SENT);
+    private static final Map<String, Gate.VoteAnswer> ANSWERS = Map.of("done", Gate.VoteAnswer.COUNTED,
+            "skipped", Gate.VoteAnswer.MOOT, "busy", Gate.VoteAnswer.BUSY, "err", Gate.VoteAnswer.ERROR,
+            "etimedout", Gate.VoteAnswer.TIMED_OUT);
+    private static final Gate.Phase[] PHASES = {Gate.Phase.TRIAL, Gate.Phase.REVERTING, Gate.Phase.RELEASED,
+        Gate.Phase.WITHDRAWN};
+    private static final Listed.Health[] HEALTH = {Listed.Health.GONE, Listed.Health.READY,
+        Listed.Health.DRAINING};
+    private static final Gate.ListForm[] FORMS = {Gate.ListForm.FAILED, Gate.ListForm.FULL,
+        Gate.ListForm.CACHED, Gate.ListForm.DELTA};
+
+    private final BufferedReader in;
+    private final OutputStream out;
+    private final StringBuilder reply = new StringBuilder(1 << 16);
+    private final Map<Integer, Relay> relays = new HashMap<>();
+    private final List<List<Listed>> lists = new ArrayList<>();
+    private long lineNo;
+    private long nowUs;
+    private int writingFor = -1;
+
+    /** One hosted relay: its decisions, the reqs it holds, and its voice on the wire. */
+    private final class Relay implements Outlet {
+        private final int number;
+        private final Map<String, Handle> held = new HashMap<>();
+        private Gate gate;
+
+        Relay(int number) {
+            this.number = number;
+        }
+
+        private StringBuilder line(String name) {
+            if (writingFor != number) {
+                reply.append("AT ").append(number).append('\n');
+                writingFor = number;
+            }
+            return reply.append(name);
+        }
+
+        @Override
+        public void send(String id, String unit, long timeoutUs) {
+            line("RELAY ").append(id).append(' ').append(unit).append(' ').append(timeoutUs * 1000).append('\n');
+        }
+
+        @Override
+        public void shed(String id, long pauseUs) {
+            line("SAY_NO ").append(id).append(' ').append(pauseUs * 1000).append('\n');
+        }
+
+        @Override
+        public void error(String id) {
+            line("DROP_REQUEST ").append(id).append('\n');
+        }
+
+        @Override
+        public void cancel(String id, int tryNo) {
+            line("RETRACT ").append(id).append(' ').append(tryNo).append('\n');
+        }
+
+        @Override
+        public void vote(int build, int stage, Verdict verdict) {
+            line("BALLOT ").append(build).append(' ').append(stage).append(' ').append(verdict.ordinal())
+                .append('\n');
+        }
+
+        @Override
+        public void timer(long inUs, long token) {
+            line("SET_TIMER ").append(inUs * 1000).append(' ').append(token).append('\n');
+        }
+
+        @Override
+        public void followList() {
+            line("TAIL 1\n");
+        }
+
+        @Override
+        public void say(String text) {
+            line("EMIT ").append(text).append('\n');
+        }
+
+        private Handle handle(String id) {
+            return held.get(id);
+        }
+
+        private void forgetIfSettled(String id, Handle handle) {
+            if (handle.settled()) {
+                held.remove(id);
+            }
+        }
+    }
+
+    private Wirehost(InputStream in, OutputStream out) {
+        this.in = new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8), 1 << 16);
+        this.out = out;
+        for (int i = 0; i < 16; i++) {
+            lists.add(List.of());
+        }
+    }
+
+    /** Runs until the input ends; malformed input ends the process with a message and status 2. */
+    public static void main(String[] args) throws IOException {
+        Wirehost host = new Wirehost(System.in, System.out);
+        try {
+            host.run();
+        } catch (MalformedLine e) {
+            System.err.println("gatelock: line " + host.lineNo + ": " + e.getMessage());
+            System.exit(2);
+        }
+    }
+
+    private void run() throws IOException {
+        for (String line = next(); line != null; line = next()) {
+            Fields mark = new Fields(line);
+            if (!mark.name().equals("MARK")) {
+                throw new MalformedLine("expected MARK, found " + mark.name());
+            }
+            nowUs = mark.number("clock") / 1000;
+            writingFor = -1;
+            batch();
+            reply.append("ACK\n");
+            out.write(reply.toString().getBytes(StandardCharsets.UTF_8));
+            out.flush();
+            reply.setLength(0);
+        }
+    }
+
+    private String next() throws IOException {
+        lineNo++;
+        return in.readLine();
+    }
+
+    private void batch() throws IOException {
+        Relay relay = null;
+        for (String line = next(); ; line = next()) {
+            if (line == null) {
+                throw new MalformedLine("expected EOB, found the end of the input");
+            }
+            Fields f = new Fields(line);
+            switch (f.name()) {
+                case "EOB" -> {
+                    return;
+                }
+                case "CONTEXT" -> relay = relays.computeIfAbsent((int) f.number("instance"), Relay::new);
+                case "MANIFEST" -> manifest(f);
+                default -> {
+                    if (relay == null) {
+                        throw new MalformedLine("expected CONTEXT before " + f.name());
+                    }
+                    event(relay, f);
+                }
+            }
+        }
+    }
+
+    private void manifest(Fields f) throws IOException {
+        int number = (int) f.number("list");
+        int count = (int) f.number("elements");
+        if (number < 0 || number >= lists.size() || count < 0) {
+            throw new MalformedLine("expected a list number from 0 to 15 and a count");
+        }
+        List<Listed> entries = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            String line = next();
+            Fields m = new Fields(line == null ? "" : line);
+            if (!m.name().equals("M")) {
+                throw new MalformedLine("expected M, found " + m.name());
+            }
+            int build = (int) m.number("ver");
+            String unit = m.text("unit");
+            int zone = (int) m.numberOr(0);
+            int kind = (int) m.numberOr(0);
+            int cell = (int) m.numberOr(0);
+            Listed.Health health = HEALTH[m.code("health", HEALTH.length)];
+            entries.add(new Listed(unit, build, zone, kind, cell, health, m.realOr(1), m.numberOr(0) / 1000));
+        }
+        lists.set(number, entries);
+    }
+
+    private void event(Relay relay, Fields f) {
+        if (f.name().equals("POWER_ON")) {
+            long seed = f.number("entropy");
+            relay.held.clear();
+            relay.gate = new ReleaseGate(Terms.read(seed, f.rest()), relay);
+            relay.gate.start(nowUs);
+            return;
+        }
+        if (f.name().equals("STOP")) {
+            relay.gate = null;
+            relay.held.clear();
+            return;
+        }
+        if (relay.gate == null) {
+            throw new MalformedLine(f.name() + " for an instance that has not started");
+        }
+        switch (f.name()) {
+            case "INBOUND" -> inbound(relay, f);
+            case "REPORT_BACK" -> reportBack(relay, f);
+            case "ELAPSED" -> relay.gate.due(nowUs, f.number("nonce"));
+            case "SYNC" -> {
+                f.number("seqNo");
+                Gate.ListForm form = FORMS[f.code("form", FORMS.length)];
+                List<Listed> entries = form == Gate.ListForm.FAILED ? List.of() : lists.get(f.code("list", 16));
+                relay.gate.listed(nowUs, form, entries);
+            }
+            case "STAGE" -> {
+                int stage = (int) f.numberOr(0);
+                double cap = f.realOr(0);
+                long agoUs = f.numberOr(0) / 1000;
+                boolean asked = f.numberOr(0) == 1;
+                Gate.Phase phase = PHASES[(int) f.numberOr(0)];
+                Gate.VoteAnswer answer = f.oneOf(ANSWERS, "result");
+                relay.gate.news(nowUs, (int) f.numberOr(0), stage, phase, cap, agoUs,
+                    asked || answer != Gate.VoteAnswer.COUNTED ? answer : Gate.VoteAnswer.NOT_ASKED);
+            }
+            case "COMPLAINT" -> {
+                String unit = f.text("unit");
+                int route = (int) f.number("service");
+                relay.gate.complaint(nowUs, unit, route, f.number("behindNs") / 1000);
+            }
+            case "ABANDONED" -> {
+                String id = f.text("msgId");
+                Handle handle = relay.handle(id);
+                if (handle != null) {
+                    handle.abandoned(nowUs);
+                    relay.forgetIfSettled(id, handle);
+                }
+            }
+            case "HEAD_RECEIVED" -> {
+                Handle handle = relay.handle(f.text("msgId"));
+                f.text("unit");
+                f.number("durationNs");
+                if (handle != null) {
+                    handle.headCame(nowUs, (int) f.number("hop"));
+                }
+            }
+            case "SCORECARD", "MAIL", "CHECKED" -> { }
+            default -> throw new MalformedLine("expected an event, found " + f.name());
+        }
+    }
+
+    private void inbound(Relay relay, Fields f) {
+        String id = f.text("msgId");
+        int route = (int) f.number("service");
+        int tenant = (int) f.numberOr(0);
+        long key = f.numberOr(Gate.NO_KEY);
+        long leftUs = Terms.atLeastOne(f.number("expiresInNs"));
+        long costNs = f.numberOr(0);
+        boolean costHolds = (f.numberOr(0) & 1) != 0;
+        relay.held.put(id, relay.gate.take(nowUs, id, route, tenant, key, leftUs,
+            costHolds ? Terms.atLeastOne(costNs) : 0));
+        relay.forgetIfSettled(id, relay.held.get(id));
+    }
+
+    private void reportBack(Relay relay, Fields f) {
+        String id = f.text("msgId");
+        int tryNo = (int) f.number("hop");
+        f.text("unit");
+        Ending ending = f.oneOf(ENDINGS, "result");
+        long tookUs = f.number("durationNs") / 1000;
+        boolean over = f.number("over") == 1;
+        Load load = f.load();
+        Handle handle = relay.handle(id);
+        if (handle != null) {
+            handle.ended(nowUs, tryNo, ending, tookUs, over, load);
+            relay.forgetIfSettled(id, handle);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -0,0 +1,1104 @@
+package gatelock.decision;
+
+import gatelock.relay.Charter;
+import gatelock.relay.Ending;
+import gatelock.relay.Gate;
+import gatelock.relay.Handle;
+import gatelock.relay.Listed;
+import gatelock.relay.Load;
+import gatelock.relay.Outlet;
+import gatelock.relay.Rollout.Gatekeeping;
+import gatelock.relay.Route;
+import gatelock.relay.Verdict;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+
+/**
+ * THE module: every decision of one relay. It is called through {@link Gate} and {@link Handle} and calls out on
+ * {@link Outlet}; all three stand in gatelock.relay. A relay calls it from one thread; its clock is the calls'.
+ *
+ * <p>Read {@link Rq#place()} first: it is the ordinary path of a req. Then {@link #weigh}: the ordinary path of a
+ * vote. The rest is what these two ask: what a build may get (Build), what a unit may get (Unit), how outcomes
+ * are weighed (Slices).
+ */
+public final class ReleaseGate implements Gate {
+
+    // ---- Tuned values -------------------------------------------------------------------------------------
+    private static final long SECOND = 1_000_000;
+    /** Housekeeping: silence is looked for and the verdict is drawn this often. */
+    private static final long BEAT_US = SECOND / 4;
+
+    // The verdict. "Page" marks what the design page gives.
+    /** Page: outcomes go in slices of this length. */
+    private static final long SLICE_US = SECOND;
+    /** Page: fewer trial outcomes than this give no verdict. */
+    private static final int FEWEST = 20;
+    /** Page: the earlier build's percentile and the margin on it. */
+    private static final double PERCENTILE = 0.9;
+    private static final double MARGIN = 1.25;
+    /** Page: the bar on errors. */
+    private static final double ERROR_BAR = 0.02;
+    /** Page: a latency fail counts for 'back' only from units older than this. */
+    private static final long WARM_UP_US = 3 * SECOND;
+    /** Page: a close call holds for this long past the stage's least time. */
+    private static final long PATIENCE_US = 3 * SECOND;
+    /** The interval: draws, and the share left out at either end (95%). */
+    private static final int DRAWS = 200;
+    private static final double TAIL = 0.025;
+    /** Slices of the trial, and of the earlier build, that are weighed: short enough to notice a late change. */
+    private static final int TRIAL_SLICES = 8;
+    private static final int EARLIER_SLICES = 20;
+    /** A confident fail needs this many slices: two can't show a spread. */
+    private static final int FEWEST_SLICES = 3;
+    /** How long a released build is watched. */
+    private static final long WATCH_US = 12 * SECOND;
+    /** From a stage's machines being up to its clock running. */
+    private static final long CLOCK_LAG_US = SECOND;
+    private static final long CLOCK_LATEST_US = 8 * SECOND;
+
+    // Votes.
+    private static final double RENEW_AT = 0.6;
+    private static final long REVOTE_US = 400_000;
+
+    // Units.
+    private static final double SPEED_MEMORY_US = 4.0 * SECOND;
+    private static final double RATE_MEMORY_US = 2.5 * SECOND;
+    /** In flight at a unit: its measured rate x this share of the route's objective, plus a floor. */
+    private static final double OBJECTIVE_SHARE = 0.6;
+    private static final double INFLIGHT_FLOOR = 4;
+    /** Of that room, the least valuable reqs may use this much. */
+    private static final double ROOM_FOR_LEAST = 0.5;
+    /** Silence: nothing came back for this long plus a multiple of the usual time, with reqs out. */
+    private static final long SILENT_US = 700_000;
+    private static final double SILENT_TIMES = 4;
+    /** Out of use: share of errors among its latest outcomes, with at least so many. */
+    private static final double SICK_ERRORS = 0.35;
+    private static final double SICK_FEWEST = 4;
+    /** A unit out of use is tried with one req this often. */
+    private static final long RETRY_UNIT_US = SECOND;
+    /** If more than this share of a build's units look bad, the units are not the cause. */
+    private static final double MOST = 0.5;
+    /** Cold units: this part of the rule's multiple, never more than so many times what they can do. */
+    private static final double COLD_PART = 0.8;
+    private static final double COLD_TIMES = 1.5;
+
+    // Further tries and shedding.
+    private static final double RETRY_SHARE = 0.1;
+    private static final double RETRY_BURST = 5;
+    private static final long SHED_PAUSE_US = 500_000;
+    /** The list: first wait after a failed call, doubled up to the last. */
+    private static final long ASK_AGAIN_US = 300_000;
+    private static final long ASK_SLOWEST_US = 4 * SECOND;
+    // --------------------------------------------------------------------------------------------------------
+
+    private static final long BEAT = 0;
+    private static final long ASK_LIST = 1;
+
+    private final Charter charter;
+    private final Outlet out;
+    private final RandomGenerator chance;
+    private final Map<String, Unit> units = new LinkedHashMap<>();
+    private final TreeMap<Integer, Build> builds = new TreeMap<>();
+    private final Map<Long, Rq> byToken = new HashMap<>();
+    private final Map<Long, Integer> pinned = new HashMap<>();
+    private final Sum[] routeCost;
+    private final Sum[] routeCount;
+    private final Sum[] tenantRate;
+    private final double topValue;
+    private long nowUs;
+    private long nextToken = 2;
+    private double retryTokens = RETRY_BURST;
+    private long askWaitUs = ASK_AGAIN_US;
+    private boolean askSet;
+
+    // The newest build as last told.
+    private int newest = -1;
+    private int stage;
+    private Phase phase = Phase.WITHDRAWN;
+    private double cap;
+    private long stageFromUs;
+    private final Set<Integer> withdrawn = new HashSet<>();
+
+    // This relay's vote.
+    private Verdict stands = Verdict.NONE;
+    private int standsFor = -1;
+    private long castUs;
+    private boolean answerDue;
+    private long voteNotBeforeUs;
+
+    /** The decisions of one relay, from what it is told at its start and its way out. */
+    public ReleaseGate(Charter charter, Outlet out) {
+        this.charter = charter;
+        this.out = out;
+        this.chance = new SplittableRandom(charter.seed());
+        int routes = charter.routes().size();
+        routeCost = new Sum[routes];
+        routeCount = new Sum[routes];
+        double top = 0;
+        for (int i = 0; i < routes; i++) {
+            routeCost[i] = new Sum(20.0 * SECOND);
+            routeCount[i] = new Sum(20.0 * SECOND);
+            top = Math.max(top, charter.routes().get(i).value());
+        }
+        topValue = top;
+        tenantRate = new Sum[charter.tenants().size()];
+        for (int i = 0; i < tenantRate.length; i++) {
+            tenantRate[i] = new Sum(RATE_MEMORY_US);
+        }
+    }
+
+
+    // ---- What happens to the relay --------------------------------------------------------------------------
+
+    @Override
+    public void start(long nowUs) {
+        this.nowUs = nowUs;
+        out.timer(BEAT_US, BEAT);
+        if (charter.mustAskForList()) {
+            out.followList();
+        }
+    }
+
+    @Override
+    public Handle take(long nowUs, String id, int route, int tenant, long key, long leftUs, long costUs) {
+        this.nowUs = nowUs;
+        Rq rq = new Rq(id, route, tenant, key, nowUs + leftUs, costUs);
+        for (Build build : builds.values()) {
+            build.earn(route);
+        }
+        retryTokens = Math.min(RETRY_BURST, retryTokens + RETRY_SHARE);
+        if (tenant < tenantRate.length) {
+            tenantRate[tenant].add(nowUs, 1);
+        }
+        byToken.put(rq.token, rq);
+        out.timer(leftUs, rq.token);
+        rq.place();
+        return rq;
+    }
+
+    @Override
+    public void listed(long nowUs, ListForm form, List<Listed> entries) {
+        this.nowUs = nowUs;
+        if (form == ListForm.FAILED) {
+            if (!askSet) {
+                askSet = true;
+                out.timer(askWaitUs, ASK_LIST);
+                askWaitUs = Math.min(ASK_SLOWEST_US, askWaitUs * 2);
+            }
+            return;
+        }
+        askWaitUs = ASK_AGAIN_US;
+        if (form != ListForm.DELTA) {
+            Set<String> present = new HashSet<>();
+            for (Listed l : entries) {
+                present.add(l.unit());
+            }
+            for (Unit u : units.values()) {
+                if (!present.contains(u.id)) {
+                    u.health = Listed.Health.GONE;
+                }
+            }
+        }
+        for (Listed l : entries) {
+            Unit u = units.get(l.unit());
+            if (u == null || u.startUs != l.startUs() || u.build.number != l.build()) {
+                // A restarted or re-used id is a new unit: nothing of its past holds.
+                u = new Unit(l, builds.computeIfAbsent(l.build(), Build::new));
+                units.put(l.unit(), u);
+            }
+            u.health = l.health();
+        }
+        for (Build b : builds.values()) {
+            b.ready.clear();
+        }
+        for (Unit u : units.values()) {
+            if (u.health == Listed.Health.READY) {
+                u.build.ready.add(u);
+            }
+        }
+    }
+
+    @Override
+    public void news(long nowUs, int build, int stage, Phase phase, double cap, long agoUs, VoteAnswer answer) {
+        this.nowUs = nowUs;
+        if (answer != VoteAnswer.NOT_ASKED) {
+            answerDue = false;
+        }
+        if (answer != VoteAnswer.NOT_ASKED && answer != VoteAnswer.COUNTED) {
+            // Guards against hammering a desk that turns votes away, whatever its reason.
+            stands = Verdict.NONE;
+            voteNotBeforeUs = nowUs + REVOTE_US + chance.nextLong(REVOTE_US);
+            return;
+        }
+        boolean moved = build != newest || stage != this.stage || phase != this.phase;
+        if (build != newest || stage != this.stage) {
+            if (stands != Verdict.BACK || build != newest) {
+                stands = Verdict.NONE;
+            }
+        }
+        newest = build;
+        this.stage = stage;
+        this.phase = phase;
+        this.cap = phase == Phase.TRIAL || phase == Phase.RELEASED ? cap : 0;
+        if (moved) {
+            stageFromUs = nowUs - agoUs;
+        }
+        if (phase == Phase.REVERTING || phase == Phase.WITHDRAWN) {
+            withdrawn.add(build);
+        } else {
+            withdrawn.remove(build);
+        }
+        if (moved) {
+            weigh();
+        }
+    }
+
+    @Override
+    public void complaint(long nowUs, String unit, int route, long agoUs) {
+        this.nowUs = nowUs;
+        Unit u = units.get(unit);
+        if (u != null && nowUs - agoUs >= u.startUs) {
+            // A wrong answer is an error of the build; it looked like any other when it came.
+            u.build.slices.add(nowUs, u, true, 0, 0);
+        }
+    }
+
+    @Override
+    public void due(long nowUs, long token) {
+        this.nowUs = nowUs;
+        if (token == BEAT) {
+            out.timer(BEAT_US, BEAT);
+            for (Unit u : units.values()) {
+                u.lookForSilence();
+            }
+            weigh();
+        } else if (token == ASK_LIST) {
+            askSet = false;
+            out.followList();
+        } else {
+            Rq rq = byToken.get(token);
+            if (rq != null && !rq.over) {
+                rq.giveUp();
+            }
+        }
+    }
+
+    // ---- A req ------------------------------------------------------------------------------------------------
+
+    /** A req that was taken. */
+    private final class Rq implements Handle {
+        private final String id;
+        private final Route route;
+        private final int routeNo;
+        private final int tenant;
+        private final long key;
+        private final long endUs;
+        private final long costUs;
+        private final long token = nextToken++;
+        private final List<Try> tries = new ArrayList<>(2);
+        private boolean over;
+        private boolean streaming;
+        private int outNow;
+
+        Rq(String id, int routeNo, int tenant, long key, long endUs, long costUs) {
+            this.id = id;
+            this.routeNo = routeNo;
+            this.route = charter.routes().get(routeNo);
+            this.tenant = tenant;
+            this.key = key;
+            this.endUs = endUs;
+            double usual = routeCount[routeNo].read(nowUs) > 1
+                ? routeCost[routeNo].read(nowUs) / routeCount[routeNo].read(nowUs) : route.objectiveUs() / 8.0;
+            this.costUs = costUs > 0 ? costUs : Math.max(1, (long) usual);
+        }
+
+        /** The ordinary path, for a first try and for any further one. */
+        private void place() {
+            boolean first = tries.isEmpty();
+            Unit unit = null;
+            if (first) {
+                // 1. First sends fill the cap of the build on trial.
+                for (Build b : builds.descendingMap().values()) {
+                    if (b.onTrial() && unit == null && b.mayTake(this)) {
+                        unit = b.pick(this);
+                    }
+                }
+            }
+            // 2. The rest goes to the released build, and what it has no room for to those before it.
+            for (Build b : builds.descendingMap().values()) {
+                if (unit == null && !b.onTrial() && !withdrawn.contains(b.number) && b.allowedFor(this)) {
+                    unit = b.pick(this);
+                }
+            }
+            // 3. A further try goes to the trial only if nowhere else: first sends have the cap.
+            for (Build b : builds.descendingMap().values()) {
+                if (unit == null && !first && b.onTrial() && b.mayTake(this)) {
+                    unit = b.pick(this);
+                }
+            }
+            if (unit == null) {
+                turnAway();
+                return;
+            }
+            send(unit);
+        }
+
+        private void send(Unit unit) {
+            long left = endUs - nowUs;
+            if (left <= 0) {
+                giveUp();
+                return;
+            }
+            if (unit.build.onTrial()) {
+                unit.build.spend(routeNo);
+            }
+            Try t = new Try(this, tries.size(), unit, nowUs, unit.out.size());
+            tries.add(t);
+            outNow++;
+            unit.sent(t);
+            out.send(id, unit.id, 0);
+        }
+
+        /** Whether every try so far is proven not to have run. */
+        private boolean neverRan() {
+            for (Try t : tries) {
+                if (t.ending == null || !t.ending.neverRan) {
+                    return false;
+                }
+            }
+            return true;
+        }
+
+        private boolean mayShed() {
+            return switch (route.repeat()) {
+                case RETRIABLE -> true;
+                case DEDUPED -> route.group() == Route.Group.ALL || neverRan();
+                case NON_RETRIABLE -> neverRan();
+            };
+        }
+
+        /** Whether a further try may go to this unit: rule 2. */
+        private boolean mayRepeatAt(Unit unit) {
+            if (route.repeat() == Route.Repeat.RETRIABLE || neverRan()) {
+                return true;
+            }
+            if (route.repeat() == Route.Repeat.NON_RETRIABLE) {
+                return false;
+            }
+            for (Try t : tries) {
+                if (t.ending != null && t.ending.neverRan) {
+                    continue;
+                }
+                if (nowUs - t.sentUs > route.rememberUs() * 8 / 10) {
+                    return false;
+                }
+                boolean same = switch (route.group()) {
+                    case ALL -> true;
+                    case ZONE -> t.unit.zone == unit.zone;
+                    case CELL -> t.unit.cell == unit.cell;
+                };
+                if (!same) {
+                    return false;
+                }
+            }
+            return true;
+        }
+
+        private boolean tried(Unit unit) {
+            for (Try t : tries) {
+                if (t.unit == unit) {
+                    return true;
+                }
+            }
+            return false;
+        }
+
+        /** A try has failed: one more, within the budget, or the final answer at once. */
+        private void again() {
+            boolean may = neverRan() || route.repeat() != Route.Repeat.NON_RETRIABLE;
+            if (may && retryTokens >= 1 && tries.size() < charter.tryLimit() && nowUs < endUs) {
+                retryTokens -= 1;
+                place();
+            } else {
+                turnAway();
+            }
+        }
+
+        private void turnAway() {
+            if (over || outNow > 0) {
+                return;
+            }
+            finish();
+            if (mayShed()) {
+                out.shed(id, charter.pausesHeard() ? Math.min(charter.longestPauseUs(), SHED_PAUSE_US) : 0);
+            } else {
+                out.error(id);
+            }
+        }
+
+        /** The client's time is up. */
+        private void giveUp() {
+            finish();
+            out.error(id);
+        }
+
+        private void finish() {
+            over = true;
+            byToken.remove(token);
+        }
+
+        @Override
+        public void ended(long now, int tryNo, Ending ending, long tookUs, boolean isOver, Load load) {
+            nowUs = now;
+            Try t = tries.get(tryNo);
+            t.ending = ending;
+            outNow--;
+            t.unit.ended(t, ending, tookUs, load);
+            if (isOver || over) {
+                if (!over) {
+                    finish();
+                }
+                return;
+            }
+            if (ending == Ending.COMPLETED) {
+                finish();
+            } else if (nowUs >= endUs) {
+                giveUp();
+            } else if (outNow == 0) {
+                again();
+            }
+        }
+
+        @Override
+        public void headCame(long now, int tryNo) {
+            nowUs = now;
+            streaming = true;
+            finish();
+        }
+
+        @Override
+        public void abandoned(long now) {
+            nowUs = now;
+            finish();
+        }
+
+        @Override
+        public boolean settled() {
+            return over && outNow == 0;
+        }
+
+        /** How much of a unit's room this req may use: by its value beside the most valuable. */
+        private double claim() {
+            double value = topValue > 0 ? route.value() / topValue : 1;
+            if (tenant < tenantRate.length && charter.tenants().get(tenant).quotaPerS() > 0) {
+                double perS = tenantRate[tenant].read(nowUs) / RATE_MEMORY_US * SECOND;
+                if (perS * charter.relays() > charter.tenants().get(tenant).quotaPerS() * 1.1) {
+                    value *= charter.overShareValue();
+                }
+            }
+            return ROOM_FOR_LEAST + (1 - ROOM_FOR_LEAST) * value;
+        }
+    }
+
+    /** One upstream try. */
+    private static final class Try {
+        private final Rq rq;
+        private final int number;
+        private final Unit unit;
+        private final long sentUs;
+        private final int ahead;
+        private Ending ending;
+        private boolean cancelled;
+
+        Try(Rq rq, int number, Unit unit, long sentUs, int ahead) {
+            this.rq = rq;
+            this.number = number;
+            this.unit = unit;
+            this.sentUs = sentUs;
+            this.ahead = ahead;
+        }
+    }
+
+    // ---- A build ----------------------------------------------------------------------------------------------
+
+    /** One build: its units, what it may get, and what came back from it. */
+    private final class Build {
+        private final int number;
+        private final List<Unit> ready = new ArrayList<>();
+        private final Slices slices = new Slices();
+        private final double[] tokens;
+
+        Build(int number) {
+            this.number = number;
+            tokens = new double[charter.rollout().perRoute() ? charter.routes().size() : 1];
+            Arrays.fill(tokens, charter.rollout().free());
+        }
+
+        private boolean onTrial() {
+            return number > newest || number == newest && phase != Phase.RELEASED;
+        }
+
+        private double capNow() {
+            if (number == newest) {
+                return cap;
+            }
+            double[] caps = charter.rollout().caps();
+            return caps.length == 0 ? 0 : caps[0];
+        }
+
+        private int stageNow() {
+            return number == newest ? stage : 0;
+        }
+
+        /**
+         * Rule 5, for any window: the count of tries since any moment stays under free + cap x reqs since then.
+         * Kept as tokens, at most 'free' of them, so that no window can open after the reqs that earned the room.
+         */
+        private void earn(int route) {
+            int i = tokens.length == 1 ? 0 : route;
+            tokens[i] = Math.min(charter.rollout().free(), tokens[i] + capNow());
+        }
+
+        private void spend(int route) {
+            tokens[tokens.length == 1 ? 0 : route] -= 1;
+        }
+
+        private boolean mayTake(Rq rq) {
+            return capNow() > 0 && tokens[tokens.length == 1 ? 0 : rq.routeNo] >= 1
+                && (stageNow() >= charter.rollout().guardedStages()
+                    || rq.route.repeat() == Route.Repeat.RETRIABLE)
+                && allowedFor(rq);
+        }
+
+        /** One-way keys: what a build has answered goes to no build before it. */
+        private boolean allowedFor(Rq rq) {
+            if (!charter.rollout().oneWay() || rq.key == NO_KEY) {
+                return true;
+            }
+            Integer floor = pinned.get(rq.key);
+            return floor == null || withdrawn.contains(floor) || number >= floor;
+        }
+
+        /** Two random choices among the units with room, the one with the shorter expected wait. */
+        private Unit pick(Rq rq) {
+            int bad = 0;
+            for (Unit u : ready) {
+                bad += u.looksBad() ? 1 : 0;
+            }
+            boolean trustHealth = bad <= MOST * ready.size();
+            List<Unit> open = new ArrayList<>(ready.size());
+            for (Unit u : ready) {
+                if (u.hasRoom(rq) && rq.mayRepeatAt(u) && !rq.tried(u)) {
+                    if (!trustHealth || !u.looksBad()) {
+                        open.add(u);
+                    } else if (rq.route.repeat() == Route.Repeat.RETRIABLE && rq.tries.isEmpty()
+                            && nowUs - u.lastSentUs >= RETRY_UNIT_US) {
+                        return u;
+                    }
+                }
+            }
+            if (open.isEmpty()) {
+                return null;
+            }
+            Unit a = open.get(chance.nextInt(open.size()));
+            Unit b = open.get(chance.nextInt(open.size()));
+            return a.expectedWait() <= b.expectedWait() ? a : b;
+        }
+    }
+
+    // ---- A unit -----------------------------------------------------------------------------------------------
+
+    /** One start of one unit. */
+    private final class Unit {
+        private final String id;
+        private final Build build;
+        private final int zone;
+        private final int kind;
+        private final int cell;
+        private final long startUs;
+        private final LinkedHashMap<Try, Long> out = new LinkedHashMap<>();
+        private final Sum slowness = new Sum(SPEED_MEMORY_US);
+        private final Sum answers = new Sum(SPEED_MEMORY_US);
+        private final Sum failures = new Sum(SPEED_MEMORY_US);
+        private final Sum rate = new Sum(RATE_MEMORY_US);
+        private final Sum work = new Sum(SPEED_MEMORY_US);
+        private final ArrayDeque<long[]> coldSends = new ArrayDeque<>();
+        private long coldWork;
+        private Listed.Health health;
+        private long lastSentUs;
+        private long lastHeardUs;
+        private boolean silent;
+        private double waiting;
+        private long waitingAtUs = Long.MIN_VALUE / 2;
+
+        Unit(Listed l, Build build) {
+            this.id = l.unit();
+            this.build = build;
+            this.zone = l.zone();
+            this.kind = l.kind();
+            this.cell = l.cell();
+            this.startUs = l.startUs();
+            this.lastHeardUs = nowUs;
+        }
+
+        private void sent(Try t) {
+            if (out.isEmpty()) {
+                lastHeardUs = nowUs;
+            }
+            out.put(t, nowUs);
+            lastSentUs = nowUs;
+            if (cold()) {
+                coldSends.add(new long[] {nowUs, t.rq.costUs});
+                coldWork += t.rq.costUs;
+            }
+            work.add(nowUs, t.rq.costUs);
+        }
+
+        private void ended(Try t, Ending ending, long tookUs, Load load) {
+            out.remove(t);
+            boolean failed = ending != Ending.COMPLETED;
+            if (ending == Ending.NOT_SENT || ending == Ending.CANCELLED && !t.cancelled) {
+                return;
+            }
+            if (!failed) {
+                lastHeardUs = nowUs;
+                silent = false;
+                rate.add(nowUs, 1);
+                slowness.add(nowUs, (double) tookUs / t.rq.costUs);
+                answers.add(nowUs, 1);
+                routeCost[t.rq.routeNo].add(nowUs, tookUs);
+                routeCount[t.rq.routeNo].add(nowUs, 1);
+                if (build.onTrial() && charter.rollout().oneWay() && t.rq.key != NO_KEY) {
+                    pinned.merge(t.rq.key, build.number, Math::max);
+                }
+            } else {
+                failures.add(nowUs, 1);
+                if (ending != Ending.TIMED_OUT && ending != Ending.CANCELLED) {
+                    lastHeardUs = nowUs;
+                }
+            }
+            if (!Double.isNaN(load.waiting())) {
+                waiting = load.waiting();
+                waitingAtUs = nowUs;
+            }
+            build.slices.add(nowUs, this, failed, (double) tookUs / t.rq.costUs, t.ahead);
+        }
+
+        /** Guards against a unit that stands still, has vanished or is cut off: silence, with reqs out. */
+        private void lookForSilence() {
+            if (out.isEmpty() || silent) {
+                return;
+            }
+            double usual = answers.read(nowUs) > 0.5
+                ? slowness.read(nowUs) / answers.read(nowUs) * meanCost() : SECOND / 5.0;
+            long limit = SILENT_US + (long) (SILENT_TIMES * usual);
+            if (nowUs - lastHeardUs > limit) {
+                silent = true;
+                // Free what may run elsewhere; the rest waits out its time.
+                for (Try t : new ArrayList<>(out.keySet())) {
+                    if (!t.rq.over && t.rq.route.repeat() != Route.Repeat.NON_RETRIABLE && charter.mayCancel()
+                            && retryTokens >= 1 && !t.cancelled) {
+                        t.cancelled = true;
+                        ReleaseGate.this.out.cancel(t.rq.id, t.number);
+                    }
+                }
+            }
+        }
+
+        private double meanCost() {
+            double n = 0;
+            double sum = 0;
+            for (int i = 0; i < routeCost.length; i++) {
+                n += routeCount[i].read(nowUs);
+                sum += routeCost[i].read(nowUs);
+            }
+            return n > 0 ? sum / n : SECOND / 5.0;
+        }
+
+        private boolean looksBad() {
+            double bad = failures.read(nowUs);
+            double all = bad + answers.read(nowUs);
+            return silent || all >= SICK_FEWEST && bad / all > SICK_ERRORS;
+        }
+
+        private boolean cold() {
+            return startUs > 0 && nowUs - startUs < charter.warmWithinUs();
+        }
+
+        /** In flight is bounded by measured rate x time; a cold unit also by what it can surely take. */
+        private boolean hasRoom(Rq rq) {
+            double perUs = rate.read(nowUs) / RATE_MEMORY_US;
+            double bound = (INFLIGHT_FLOOR + perUs * rq.route.objectiveUs() * OBJECTIVE_SHARE) * rq.claim();
+            if (out.size() >= bound) {
+                return false;
+            }
+            return !cold() || coldRoom(rq);
+        }
+
+        /**
+         * Rule 4 as a budget over any window: this relay's part of a multiple of what the unit can do at its age,
+         * guessed low, from the work that warm units bear.
+         */
+        private boolean coldRoom(Rq rq) {
+            while (!coldSends.isEmpty() && coldSends.peek()[0] < nowUs - charter.coldWindowUs()) {
+                coldWork -= coldSends.poll()[1];
+            }
+            if (coldSends.isEmpty()) {
+                return true;
+            }
+            double from = charter.coldFrom();
+            double able = from + (1 - from) * Math.max(0, nowUs - startUs) / charter.warmWithinUs();
+            double times = Math.min(COLD_TIMES, COLD_PART * charter.coldMultiple());
+            return coldWork + rq.costUs <= times * able * warmWork() * charter.coldWindowUs();
+        }
+
+        private double expectedWait() {
+            double n = answers.read(nowUs);
+            double slow = (slowness.read(nowUs) + fleetSlowness()) / (n + 1);
+            double queue = nowUs - waitingAtUs < SECOND ? waiting : 0;
+            return slow * (out.size() + 1 + queue);
+        }
+    }
+
+    /** Work a warm unit bears for this relay, in microseconds of work per microsecond. */
+    private double warmWork() {
+        double sum = 0;
+        int n = 0;
+        for (Unit u : units.values()) {
+            if (u.health == Listed.Health.READY && !u.cold()) {
+                sum += u.work.read(nowUs) / SPEED_MEMORY_US;
+                n++;
+            }
+        }
+        return n == 0 ? 0 : sum / n;
+    }
+
+    private double fleetSlowness() {
+        double sum = 0;
+        double n = 0;
+        for (Unit u : units.values()) {
+            sum += u.slowness.read(nowUs);
+            n += u.answers.read(nowUs);
+        }
+        return n < 1 ? 1 : sum / n;
+    }
+
+    // ---- The vote ---------------------------------------------------------------------------------------------
+
+    /** The ordinary path of a vote: what the outcomes say, what the stage's time allows, and whether to say it. */
+    private void weigh() {
+        Build trial = builds.get(newest);
+        if (trial == null || phase == Phase.REVERTING || phase == Phase.WITHDRAWN) {
+            return;
+        }
+        Finding finding = compare(trial, earlierThan(newest));
+        if (phase == Phase.RELEASED) {
+            boolean watched = nowUs - stageFromUs < WATCH_US;
+            cast(watched && finding == Finding.ERRORS ? Verdict.BACK : Verdict.NONE);
+            return;
+        }
+        long least = clockFromUs() + charter.rollout().leastUs();
+        Verdict verdict;
+        if (finding == Finding.ERRORS || finding == Finding.SLOW) {
+            verdict = Verdict.BACK;
+        } else if (finding == Finding.PASS) {
+            verdict = nowUs < least ? Verdict.NONE : Verdict.ON;
+        } else {
+            verdict = nowUs < least + PATIENCE_US ? Verdict.HOLD
+                : finding == Finding.SLOW_BUT_COLD ? Verdict.HOLD : Verdict.ON;
+        }
+        boolean clock = charter.rollout().gatekeeping() == Gatekeeping.CLOCK;
+        if (clock && verdict == Verdict.ON || !clock && verdict == Verdict.HOLD) {
+            verdict = Verdict.NONE;
+        }
+        cast(verdict);
+    }
+
+    private Build earlierThan(int number) {
+        Build best = null;
+        for (Build b : builds.headMap(number).values()) {
+            if (!withdrawn.contains(b.number) && b.slices.total > 0) {
+                best = b;
+            }
+        }
+        return best;
+    }
+
+    /** When the stage's clock began to run, as far as can be told: its machines up, and a little. */
+    private long clockFromUs() {
+        long latest = stageFromUs;
+        Build trial = builds.get(newest);
+        if (trial == null || trial.ready.isEmpty()) {
+            return stageFromUs + CLOCK_LATEST_US;
+        }
+        for (Unit u : trial.ready) {
+            latest = Math.max(latest, u.startUs);
+        }
+        return Math.min(latest, stageFromUs + CLOCK_LATEST_US) + CLOCK_LAG_US;
+    }
+
+    private void cast(Verdict verdict) {
+        boolean same = verdict == stands && standsFor == newest;
+        boolean lapsing = verdict != Verdict.NONE
+            && nowUs - castUs > charter.rollout().voteLifeUs() * RENEW_AT;
+        if (same && !lapsing || verdict == Verdict.NONE && stands == Verdict.NONE) {
+            return;
+        }
+        boolean waiting = answerDue && nowUs - castUs < charter.rollout().voteWaitUs();
+        if (waiting || nowUs < voteNotBeforeUs) {
+            return;
+        }
+        stands = verdict;
+        standsFor = newest;
+        castUs = nowUs;
+        answerDue = true;
+        out.vote(newest, stage, verdict);
+    }
+
+    private enum Finding { NO_VERDICT, PASS, CLOSE, SLOW_BUT_COLD, SLOW, ERRORS }
+
+    /**
+     * The verdict: 95% intervals, bootstrapped over slices, of the trial's errors and of its percentile, set
+     * against the bars.
+     */
+    private Finding compare(Build trial, Build earlier) {
+        List<Slice> mine = trial.slices.since(nowUs / SLICE_US - TRIAL_SLICES);
+        int count = 0;
+        for (Slice s : mine) {
+            count += s.outcomes.size();
+        }
+        if (earlier == null || count < FEWEST) {
+            return Finding.NO_VERDICT;
+        }
+        List<Slice> theirs = earlier.slices.latest(EARLIER_SLICES);
+        int all = 0;
+        int bad = 0;
+        for (Slice s : theirs) {
+            for (Outcome o : s.outcomes) {
+                all++;
+                bad += o.failed ? 1 : 0;
+            }
+        }
+        double errorBar = Math.max(ERROR_BAR, MARGIN * bad / Math.max(1, all));
+        double[] errors = interval(mine, -1, null, false);
+        boolean enough = mine.size() >= FEWEST_SLICES;
+        if (errors[0] > errorBar && enough) {
+            return Finding.ERRORS;
+        }
+        LikeLoad like = new LikeLoad(theirs);
+        double bar = like.percentile(theirs) * MARGIN;
+        double[] slow = interval(mine, PERCENTILE, like, false);
+        if (slow == null || Double.isNaN(bar)) {
+            return Finding.NO_VERDICT;
+        }
+        if (slow[0] > bar && enough) {
+            double[] warm = interval(mine, PERCENTILE, like, true);
+            return warm != null && warm[0] > bar ? Finding.SLOW : Finding.SLOW_BUT_COLD;
+        }
+        return errors[1] < errorBar && slow[1] < bar ? Finding.PASS : Finding.CLOSE;
+    }
+
+    /** An interval over slices: of the share of errors, or with {@code like} of a percentile of the latency. */
+    private double[] interval(List<Slice> slices, double percentile, LikeLoad like, boolean warmOnly) {
+        int n = slices.size();
+        double[] found = new double[DRAWS];
+        long[] times = new long[n];
+        double[][] sorted = null;
+        if (like != null) {
+            List<double[]> flat = new ArrayList<>();
+            for (int i = 0; i < n; i++) {
+                for (Outcome o : slices.get(i).outcomes) {
+                    if (!o.failed && (!warmOnly || o.ageUs > WARM_UP_US)) {
+                        flat.add(new double[] {o.slowness / like.usual(o), i});
+                    }
+                }
+            }
+            if (flat.size() < FEWEST) {
+                return null;
+            }
+            sorted = flat.toArray(new double[0][]);
+            Arrays.sort(sorted, (a, b) -> Double.compare(b[0], a[0]));
+        }
+        for (int d = 0; d < DRAWS; d++) {
+            Arrays.fill(times, 0);
+            for (int i = 0; i < n; i++) {
+                times[chance.nextInt(n)]++;
+            }
+            double total = 0;
+            double bad = 0;
+            if (sorted == null) {
+                for (int i = 0; i < n; i++) {
+                    total += times[i] * slices.get(i).outcomes.size();
+                    bad += times[i] * slices.get(i).failed;
+                }
+                found[d] = total == 0 ? 0 : bad / total;
+            } else {
+                for (double[] v : sorted) {
+                    total += times[(int) v[1]];
+                }
+                double above = 0;
+                for (double[] v : sorted) {
+                    above += times[(int) v[1]];
+                    if (above >= total * (1 - percentile)) {
+                        found[d] = v[0];
+                        break;
+                    }
+                }
+            }
+        }
+        Arrays.sort(found);
+        return new double[] {found[(int) (DRAWS * TAIL)], found[DRAWS - 1 - (int) (DRAWS * TAIL)]};
+    }
+
+    /** One outcome, as the verdict needs it: time per announced work, machine kind, reqs ahead, age of the unit. */
+    private record Outcome(boolean failed, double slowness, int kind, int ahead, long ageUs) {
+    }
+
+    /** The outcomes of one second. */
+    private static final class Slice {
+        private final long number;
+        private final List<Outcome> outcomes = new ArrayList<>();
+        private int failed;
+
+        Slice(long number) {
+            this.number = number;
+        }
+    }
+
+    /** A build's outcomes by slice, the latest few. */
+    private static final class Slices {
+        private final ArrayDeque<Slice> kept = new ArrayDeque<>();
+        private long total;
+
+        void add(long nowUs, Unit unit, boolean failed, double slowness, int ahead) {
+            long number = nowUs / SLICE_US;
+            if (kept.isEmpty() || kept.peekLast().number != number) {
+                kept.add(new Slice(number));
+                if (kept.size() > EARLIER_SLICES + 1) {
+                    kept.poll();
+                }
+            }
+            Slice s = kept.peekLast();
+            long age = unit.startUs > 0 ? nowUs - unit.startUs : Long.MAX_VALUE;
+            s.outcomes.add(new Outcome(failed, slowness, unit.kind, ahead, age));
+            s.failed += failed ? 1 : 0;
+            total++;
+        }
+
+        List<Slice> since(long number) {
+            List<Slice> found = new ArrayList<>();
+            for (Slice s : kept) {
+                if (s.number >= number) {
+                    found.add(s);
+                }
+            }
+            return found;
+        }
+
+        List<Slice> latest(int count) {
+            List<Slice> found = new ArrayList<>(kept);
+            return found.size() <= count ? found : found.subList(found.size() - count, found.size());
+        }
+    }
+
+    /**
+     * What the earlier build usually needs under like load: by machine kind and reqs ahead. Where it never had so
+     * many ahead, its nearest figure grows in step with the queue.
+     */
+    private static final class LikeLoad {
+        private static final int STEPS = 16;
+        private final Map<Integer, double[][]> byKind = new HashMap<>();
+        private final double[][] any = new double[2][STEPS];
+
+        LikeLoad(List<Slice> slices) {
+            for (Slice s : slices) {
+                for (Outcome o : s.outcomes) {
+                    if (!o.failed) {
+                        int step = Math.min(STEPS - 1, o.ahead);
+                        double[][] k = byKind.computeIfAbsent(o.kind, x -> new double[2][STEPS]);
+                        k[0][step] += o.slowness;
+                        k[1][step] += 1;
+                        any[0][step] += o.slowness;
+                        any[1][step] += 1;
+                    }
+                }
+            }
+        }
+
+        double usual(Outcome o) {
+            double[][] k = byKind.get(o.kind);
+            double found = k == null ? Double.NaN : near(k, o.ahead);
+            return Double.isNaN(found) ? near(any, o.ahead) : found;
+        }
+
+        private static double near(double[][] table, int ahead) {
+            int step = Math.min(STEPS - 1, ahead);
+            double sum = 0;
+            double n = 0;
+            for (int reach = 0; reach < STEPS; reach++) {
+                for (int side = reach == 0 ? 1 : -1; side <= 1; side += 2) {
+                    int i = step + side * reach;
+                    if (i >= 0 && i < STEPS) {
+                        double grow = Math.max(1, (1.0 + step) / (4.0 + i));
+                        sum += table[0][i] * grow;
+                        n += table[1][i];
+                    }
+                }
+                if (n >= 10) {
+                    break;
+                }
+            }
+            return n < 1 ? Double.NaN : sum / n;
+        }
+
+        double percentile(List<Slice> slices) {
+            List<Double> values = new ArrayList<>();
+            for (Slice s : slices) {
+                for (Outcome o : s.outcomes) {
+                    if (!o.failed) {
+                        values.add(o.slowness / usual(o));
+                    }
+                }
+            }
+            if (values.isEmpty()) {
+                return Double.NaN;
+            }
+            values.sort(null);
+            return values.get((int) (PERCENTILE * (values.size() - 1)));
+        }
+    }
+
+    /** A sum that fades: what was added a memory ago counts 1/e. */
+    private static final class Sum {
+        private final double memoryUs;
+        private double sum;
+        private long atUs;
+
+        Sum(double memoryUs) {
+            this.memoryUs = memoryUs;
+        }
+
+        void add(long nowUs, double value) {
+            sum = read(nowUs) + value;
+        }
+
+        double read(long nowUs) {
+            if (nowUs > atUs) {
+                sum *= Math.exp((atUs - nowUs) / memoryUs);
+                atUs = nowUs;
+            }
+            return sum;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gatelock/relay/Gate.java
@@ -0,0 +1,47 @@
+package gatelock.relay;
+
+import java.util.List;
+
+/**
+ * One relay's decisions. A relay calls this from one thread with its own clock, which never goes back; each call
+ * may answer through the {@link Outlet} it was built with, before it returns.
+ */
+public interface Gate {
+
+    /** What a list of units is: what changed, all there is, a remembered whole, or the notice that none came. */
+    enum ListForm { DELTA, FULL, CACHED, FAILED }
+
+    /** The state of the newest build at the release desk. */
+    enum Phase { TRIAL, REVERTING, RELEASED, WITHDRAWN }
+
+    /** How a vote was answered: {@code NOT_ASKED} marks news that answers no vote. */
+    enum VoteAnswer { NOT_ASKED, COUNTED, MOOT, BUSY, ERROR, TIMED_OUT }
+
+    /** Called once, before anything else. */
+    void start(long nowUs);
+
+    /**
+     * A req has arrived; it is owed exactly one final answer.
+     *
+     * @param key the subject of the req, or {@link #NO_KEY}
+     * @param leftUs how long the client still waits
+     * @param costUs the announced work as time on a standard core, or 0 where nothing valid was announced
+     */
+    Handle take(long nowUs, String id, int route, int tenant, long key, long leftUs, long costUs);
+
+    /** Stands for a req without a key. */
+    long NO_KEY = -1;
+
+    /** The list of units, or a part of it, has come in. */
+    void listed(long nowUs, ListForm form, List<Listed> units);
+
+    /** News of the newest build; {@code answer} tells whether it answers a vote. Only where it is
+     * {@code NOT_ASKED} or {@code COUNTED} do the other values hold. */
+    void news(long nowUs, int build, int stage, Phase phase, double cap, long agoUs, VoteAnswer answer);
+
+    /** A client found an answer wrong that {@code unit} gave to a try sent {@code agoUs} ago. */
+    void complaint(long nowUs, String unit, int route, long agoUs);
+
+    /** A timer asked for on the outlet is due. */
+    void due(long nowUs, long token);
+}
--- /dev/null
+++ b/src/main/java/gatelock/relay/Handle.java
@@ -0,0 +1,22 @@
+package gatelock.relay;
+
+/** A req that was taken: all that happens to it later is a call on this handle. */
+public interface Handle {
+
+    /**
+     * An upstream try has ended.
+     *
+     * @param over whether the req has its final answer, by this outcome or earlier
+     * @param load what the unit reported with it, or {@link Load#NONE}
+     */
+    void ended(long nowUs, int tryNo, Ending ending, long tookUs, boolean over, Load load);
+
+    /** The answer's head has come: the try now belongs to the client. */
+    void headCame(long nowUs, int tryNo);
+
+    /** The client has left; nothing more is owed. */
+    void abandoned(long nowUs);
+
+    /** Whether nothing more can happen to the req, so that the caller may forget it. */
+    boolean settled();
+}
--- /dev/null
+++ b/src/main/java/gatelock/relay/Outlet.java
@@ -0,0 +1,29 @@
+package gatelock.relay;
+
+/** What the decisions can have done; calls take effect in order, at the time of the call that led to them. */
+public interface Outlet {
+
+    /** Sends a req to a unit; tries of a req number from 0 in the order sent. 0: until the client leaves. */
+    void send(String id, String unit, long timeoutUs);
+
+    /** Final answer: not done, trying again is harmless, best after {@code pauseUs} (0: no advice). */
+    void shed(String id, long pauseUs);
+
+    /** Final answer: errored, nothing promised. */
+    void error(String id);
+
+    /** Stops waiting for one try; its ending still comes. */
+    void cancel(String id, int tryNo);
+
+    /** Casts this relay's one vote. */
+    void vote(int build, int stage, Verdict verdict);
+
+    /** Asks for {@link Gate#due} with this token. */
+    void timer(long inUs, long token);
+
+    /** Subscribes to changes of the list. */
+    void followList();
+
+    /** Leaves a line for the operators. */
+    void say(String line);
+}
--- /dev/null
+++ b/src/main/java/gatelock/relay/Rollout.java
@@ -0,0 +1,12 @@
+package gatelock.relay;
+
+/**
+ * How builds are released here. {@code leastUs} is a stage's least time; {@code caps} gives each stage's share of
+ * the reqs; {@code free} tries come on top of the share within any {@code windowUs}.
+ */
+public record Rollout(Gatekeeping gatekeeping, long leastUs, long voteLifeUs, long voteWaitUs, double[] caps,
+                      int guardedStages, boolean perRoute, boolean oneWay, double free, double reportedWrong) {
+
+    /** What moves a stage on: the first voice, a count of voices, or the clock. */
+    public enum Gatekeeping { FIRST_VOICE, COUNT, CLOCK }
+}
--- /dev/null
+++ b/src/main/java/gatelock/relay/Route.java
@@ -0,0 +1,12 @@
+package gatelock.relay;
+
+/** What was agreed for the reqs of one route. */
+public record Route(Repeat repeat, Group group, long rememberUs, long objectiveUs, long timeoutUs,
+                    double value, double lateValue) {
+
+    /** Whether a req may run again. */
+    public enum Repeat { RETRIABLE, DEDUPED, NON_RETRIABLE }
+
+    /** Which units drop a repeat of a deduped req. */
+    public enum Group { ALL, ZONE, CELL }
+}
