Latency judged on warm units under like offered work; fails must last

Cause sought: cold and fuller trial units read as slow builds. Good builds still go back; the ground of each vote is logged to find out why.

--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -52,7 +52,7 @@
     /** Page: a latency fail counts for 'back' only from units older than this. */
     private static final long WARM_UP_US = 3 * SECOND;
     /** Page: a close call holds for this long past the stage's least time. */
-    private static final long PATIENCE_US = 3 * SECOND;
+    private static final long PATIENCE_US = SECOND;
     /** The interval: draws, and the share left out at either end (95%). */
     private static final int DRAWS = 200;
     private static final double TAIL = 0.025;
@@ -74,6 +74,11 @@
     // Units.
     private static final double SPEED_MEMORY_US = 4.0 * SECOND;
     private static final double RATE_MEMORY_US = 2.5 * SECOND;
+    private static final double WORK_MEMORY_US = 2.0 * SECOND;
+    /** A unit on trial gets at most this multiple of the work that one place bears on average. */
+    private static final double TRIAL_TIMES = 1.35;
+    /** A confident fail must last this long before it votes back: one look in many fails by chance. */
+    private static final long CONFIRM_US = 3 * SECOND / 2;
     /** In flight at a unit: its measured rate x this share of the route's objective, plus a floor. */
     private static final double OBJECTIVE_SHARE = 0.6;
     private static final double INFLIGHT_FLOOR = 4;
@@ -135,6 +140,8 @@
     private int standsFor = -1;
     private long castUs;
     private boolean answerDue;
+    private String ground = "";
+    private long failsSinceUs = Long.MAX_VALUE;
     private long voteNotBeforeUs;
 
     /** The decisions of one relay, from what it is told at its start and its way out. */
@@ -363,7 +370,7 @@
             if (unit.build.onTrial()) {
                 unit.build.spend(routeNo);
             }
-            Try t = new Try(this, tries.size(), unit, nowUs, unit.out.size());
+            Try t = new Try(this, tries.size(), unit, nowUs, unit.workRate());
             tries.add(t);
             outNow++;
             unit.sent(t);
@@ -517,16 +524,16 @@
         private final int number;
         private final Unit unit;
         private final long sentUs;
-        private final int ahead;
+        private final double load;
         private Ending ending;
         private boolean cancelled;
 
-        Try(Rq rq, int number, Unit unit, long sentUs, int ahead) {
+        Try(Rq rq, int number, Unit unit, long sentUs, double load) {
             this.rq = rq;
             this.number = number;
             this.unit = unit;
             this.sentUs = sentUs;
-            this.ahead = ahead;
+            this.load = load;
         }
     }
 
@@ -632,7 +639,7 @@
         private final Sum answers = new Sum(SPEED_MEMORY_US);
         private final Sum failures = new Sum(SPEED_MEMORY_US);
         private final Sum rate = new Sum(RATE_MEMORY_US);
-        private final Sum work = new Sum(SPEED_MEMORY_US);
+        private final Sum work = new Sum(WORK_MEMORY_US);
         private final ArrayDeque<long[]> coldSends = new ArrayDeque<>();
         private long coldWork;
         private Listed.Health health;
@@ -692,7 +699,7 @@
                 waiting = load.waiting();
                 waitingAtUs = nowUs;
             }
-            build.slices.add(nowUs, this, failed, (double) tookUs / t.rq.costUs, t.ahead);
+            build.slices.add(nowUs, this, failed, (double) tookUs / t.rq.costUs, t.load);
         }
 
         /** Guards against a unit that stands still, has vanished or is cut off: silence, with reqs out. */
@@ -743,9 +750,23 @@
             if (out.size() >= bound) {
                 return false;
             }
+            if (build.onTrial() && !out.isEmpty()
+                    && workRate() + rq.costUs / WORK_MEMORY_US > TRIAL_TIMES * able() * workPerPlace()) {
+                return false;
+            }
             return !cold() || coldRoom(rq);
         }
 
+        private double workRate() {
+            return work.read(nowUs) / WORK_MEMORY_US;
+        }
+
+        /** The part of its capacity that a unit of this age surely has. */
+        private double able() {
+            double from = charter.coldFrom();
+            return cold() ? from + (1 - from) * Math.max(0, nowUs - startUs) / charter.warmWithinUs() : 1;
+        }
+
         /**
          * Rule 4 as a budget over any window: this relay's part of a multiple of what the unit can do at its age,
          * guessed low, from the work that warm units bear.
@@ -757,10 +778,8 @@
             if (coldSends.isEmpty()) {
                 return true;
             }
-            double from = charter.coldFrom();
-            double able = from + (1 - from) * Math.max(0, nowUs - startUs) / charter.warmWithinUs();
             double times = Math.min(COLD_TIMES, COLD_PART * charter.coldMultiple());
-            return coldWork + rq.costUs <= times * able * warmWork() * charter.coldWindowUs();
+            return coldWork + rq.costUs <= times * able() * workPerPlace() * charter.coldWindowUs();
         }
 
         private double expectedWait() {
@@ -771,17 +790,17 @@
         }
     }
 
-    /** Work a warm unit bears for this relay, in microseconds of work per microsecond. */
-    private double warmWork() {
+    /** Work this relay has for one of the fleet's places, in microseconds of work per microsecond. */
+    private double workPerPlace() {
         double sum = 0;
-        int n = 0;
+        int places = 1;
         for (Unit u : units.values()) {
-            if (u.health == Listed.Health.READY && !u.cold()) {
-                sum += u.work.read(nowUs) / SPEED_MEMORY_US;
-                n++;
-            }
+            sum += u.workRate();
         }
-        return n == 0 ? 0 : sum / n;
+        for (Build b : builds.values()) {
+            places = Math.max(places, b.ready.size());
+        }
+        return sum / places;
     }
 
     private double fleetSlowness() {
@@ -803,20 +822,22 @@
             return;
         }
         Finding finding = compare(trial, earlierThan(newest));
+        boolean fails = finding == Finding.ERRORS || finding == Finding.SLOW;
+        failsSinceUs = fails ? Math.min(failsSinceUs, nowUs) : Long.MAX_VALUE;
+        boolean sure = fails && nowUs - failsSinceUs >= CONFIRM_US;
         if (phase == Phase.RELEASED) {
             boolean watched = nowUs - stageFromUs < WATCH_US;
-            cast(watched && finding == Finding.ERRORS ? Verdict.BACK : Verdict.NONE);
+            cast(watched && sure && finding == Finding.ERRORS ? Verdict.BACK : Verdict.NONE);
             return;
         }
         long least = clockFromUs() + charter.rollout().leastUs();
         Verdict verdict;
-        if (finding == Finding.ERRORS || finding == Finding.SLOW) {
-            verdict = Verdict.BACK;
+        if (fails) {
+            verdict = sure ? Verdict.BACK : Verdict.HOLD;
         } else if (finding == Finding.PASS) {
             verdict = nowUs < least ? Verdict.NONE : Verdict.ON;
         } else {
-            verdict = nowUs < least + PATIENCE_US ? Verdict.HOLD
-                : finding == Finding.SLOW_BUT_COLD ? Verdict.HOLD : Verdict.ON;
+            verdict = nowUs < least + PATIENCE_US ? Verdict.HOLD : Verdict.ON;
         }
         boolean clock = charter.rollout().gatekeeping() == Gatekeeping.CLOCK;
         if (clock && verdict == Verdict.ON || !clock && verdict == Verdict.HOLD) {
@@ -864,9 +885,10 @@
         castUs = nowUs;
         answerDue = true;
         out.vote(newest, stage, verdict);
+        out.say(verdict + " build " + newest + " stage " + stage + ": " + ground);
     }
 
-    private enum Finding { NO_VERDICT, PASS, CLOSE, SLOW_BUT_COLD, SLOW, ERRORS }
+    private enum Finding { NO_VERDICT, PASS, CLOSE, SLOW, ERRORS }
 
     /**
      * The verdict: 95% intervals, bootstrapped over slices, of the trial's errors and of its percentile, set
@@ -891,35 +913,38 @@
             }
         }
         double errorBar = Math.max(ERROR_BAR, MARGIN * bad / Math.max(1, all));
-        double[] errors = interval(mine, -1, null, false);
+        double[] errors = interval(mine, -1, null);
         boolean enough = mine.size() >= FEWEST_SLICES;
+        ground = String.format("%d outcomes, errors %.3f to %.3f, bar %.3f", count, errors[0], errors[1],
+            errorBar);
         if (errors[0] > errorBar && enough) {
             return Finding.ERRORS;
         }
         LikeLoad like = new LikeLoad(theirs);
         double bar = like.percentile(theirs) * MARGIN;
-        double[] slow = interval(mine, PERCENTILE, like, false);
+        double[] slow = interval(mine, PERCENTILE, like);
         if (slow == null || Double.isNaN(bar)) {
             return Finding.NO_VERDICT;
         }
+        ground += String.format(", slowness %.2f to %.2f, bar %.2f", slow[0], slow[1], bar);
         if (slow[0] > bar && enough) {
-            double[] warm = interval(mine, PERCENTILE, like, true);
-            return warm != null && warm[0] > bar ? Finding.SLOW : Finding.SLOW_BUT_COLD;
+            return Finding.SLOW;
         }
         return errors[1] < errorBar && slow[1] < bar ? Finding.PASS : Finding.CLOSE;
     }
 
     /** An interval over slices: of the share of errors, or with {@code like} of a percentile of the latency. */
-    private double[] interval(List<Slice> slices, double percentile, LikeLoad like, boolean warmOnly) {
+    private double[] interval(List<Slice> slices, double percentile, LikeLoad like) {
         int n = slices.size();
         double[] found = new double[DRAWS];
         long[] times = new long[n];
         double[][] sorted = null;
+        long warmUs = Math.max(WARM_UP_US, charter.warmWithinUs());
         if (like != null) {
             List<double[]> flat = new ArrayList<>();
             for (int i = 0; i < n; i++) {
                 for (Outcome o : slices.get(i).outcomes) {
-                    if (!o.failed && (!warmOnly || o.ageUs > WARM_UP_US)) {
+                    if (!o.failed && o.ageUs > warmUs) {
                         flat.add(new double[] {o.slowness / like.usual(o), i});
                     }
                 }
@@ -962,7 +987,7 @@
     }
 
     /** One outcome, as the verdict needs it: time per announced work, machine kind, reqs ahead, age of the unit. */
-    private record Outcome(boolean failed, double slowness, int kind, int ahead, long ageUs) {
+    private record Outcome(boolean failed, double slowness, int kind, double load, long ageUs) {
     }
 
     /** The outcomes of one second. */
@@ -981,7 +1006,7 @@
         private final ArrayDeque<Slice> kept = new ArrayDeque<>();
         private long total;
 
-        void add(long nowUs, Unit unit, boolean failed, double slowness, int ahead) {
+        void add(long nowUs, Unit unit, boolean failed, double slowness, double load) {
             long number = nowUs / SLICE_US;
             if (kept.isEmpty() || kept.peekLast().number != number) {
                 kept.add(new Slice(number));
@@ -991,7 +1016,7 @@
             }
             Slice s = kept.peekLast();
             long age = unit.startUs > 0 ? nowUs - unit.startUs : Long.MAX_VALUE;
-            s.outcomes.add(new Outcome(failed, slowness, unit.kind, ahead, age));
+            s.outcomes.add(new Outcome(failed, slowness, unit.kind, load, age));
             s.failed += failed ? 1 : 0;
             total++;
         }
@@ -1013,51 +1038,59 @@
     }
 
     /**
-     * What the earlier build usually needs under like load: by machine kind and reqs ahead. Where it never had so
-     * many ahead, its nearest figure grows in step with the queue.
+     * What the earlier build usually needs under like load: by machine kind and the work sent to the unit of late.
+     * Where it never bore as much, its nearest figure is raised a little for each step between.
      */
     private static final class LikeLoad {
-        private static final int STEPS = 16;
+        private static final int STEPS = 24;
+        private static final double STEP = 0.25;
+        private static final double RISE = 0.1;
+        private static final int ENOUGH = 12;
         private final Map<Integer, double[][]> byKind = new HashMap<>();
         private final double[][] any = new double[2][STEPS];
+        private double meanLoad;
 
         LikeLoad(List<Slice> slices) {
+            int n = 0;
+            for (Slice s : slices) {
+                for (Outcome o : s.outcomes) {
+                    meanLoad += o.load;
+                    n++;
+                }
+            }
+            meanLoad = n == 0 || meanLoad <= 0 ? 1 : meanLoad / n;
             for (Slice s : slices) {
                 for (Outcome o : s.outcomes) {
                     if (!o.failed) {
-                        int step = Math.min(STEPS - 1, o.ahead);
-                        double[][] k = byKind.computeIfAbsent(o.kind, x -> new double[2][STEPS]);
-                        k[0][step] += o.slowness;
-                        k[1][step] += 1;
-                        any[0][step] += o.slowness;
-                        any[1][step] += 1;
+                        for (double[][] t : List.of(any, byKind.computeIfAbsent(o.kind, x -> new double[2][STEPS]))) {
+                            t[0][step(o)] += o.slowness;
+                            t[1][step(o)] += 1;
+                        }
                     }
                 }
             }
         }
 
+        private int step(Outcome o) {
+            return Math.min(STEPS - 1, (int) (o.load / meanLoad / STEP));
+        }
+
         double usual(Outcome o) {
             double[][] k = byKind.get(o.kind);
-            double found = k == null ? Double.NaN : near(k, o.ahead);
-            return Double.isNaN(found) ? near(any, o.ahead) : found;
+            double found = k == null ? Double.NaN : near(k, step(o));
+            return Double.isNaN(found) ? near(any, step(o)) : found;
         }
 
-        private static double near(double[][] table, int ahead) {
-            int step = Math.min(STEPS - 1, ahead);
+        private static double near(double[][] table, int step) {
             double sum = 0;
             double n = 0;
-            for (int reach = 0; reach < STEPS; reach++) {
-                for (int side = reach == 0 ? 1 : -1; side <= 1; side += 2) {
-                    int i = step + side * reach;
+            for (int reach = 0; reach < STEPS && n < ENOUGH; reach++) {
+                for (int i = step - reach; i <= step + reach; i += Math.max(1, 2 * reach)) {
                     if (i >= 0 && i < STEPS) {
-                        double grow = Math.max(1, (1.0 + step) / (4.0 + i));
-                        sum += table[0][i] * grow;
+                        sum += table[0][i] * (1 + RISE * Math.max(0, step - i));
                         n += table[1][i];
                     }
                 }
-                if (n >= 10) {
-                    break;
-                }
             }
             return n < 1 ? Double.NaN : sum / n;
         }
