--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -77,6 +77,8 @@
     private static final double WORK_MEMORY_US = 2.0 * SECOND;
     /** A unit on trial gets at most this multiple of the work that one place bears on average. */
     private static final double TRIAL_TIMES = 1.35;
+    /** In flight at a unit on trial: one, and its measured rate x this multiple of the earlier build's time. */
+    private static final double TRIAL_WAIT = 1.3;
     /** A confident fail must last this long before it votes back: one look in many fails by chance. */
     private static final long CONFIRM_US = 3 * SECOND / 2;
     /** In flight at a unit: its measured rate x this share of the route's objective, plus a floor. */
@@ -312,6 +314,7 @@
         private final long key;
         private final long endUs;
         private final long costUs;
+        private final boolean hinted;
         private final long token = nextToken++;
         private final List<Try> tries = new ArrayList<>(2);
         private boolean over;
@@ -327,6 +330,7 @@
             this.endUs = endUs;
             double usual = routeCount[routeNo].read(nowUs) > 1
                 ? routeCost[routeNo].read(nowUs) / routeCount[routeNo].read(nowUs) : route.objectiveUs() / 8.0;
+            this.hinted = costUs > 0;
             this.costUs = costUs > 0 ? costUs : Math.max(1, (long) usual);
         }
 
@@ -684,7 +688,7 @@
                 rate.add(nowUs, 1);
                 slowness.add(nowUs, (double) tookUs / t.rq.costUs);
                 answers.add(nowUs, 1);
-                routeCost[t.rq.routeNo].add(nowUs, tookUs);
+                routeCost[t.rq.routeNo].add(nowUs, t.rq.hinted ? t.rq.costUs : tookUs);
                 routeCount[t.rq.routeNo].add(nowUs, 1);
                 if (build.onTrial() && charter.rollout().oneWay() && t.rq.key != NO_KEY) {
                     pinned.merge(t.rq.key, build.number, Math::max);
@@ -723,16 +727,6 @@
             }
         }
 
-        private double meanCost() {
-            double n = 0;
-            double sum = 0;
-            for (int i = 0; i < routeCost.length; i++) {
-                n += routeCount[i].read(nowUs);
-                sum += routeCost[i].read(nowUs);
-            }
-            return n > 0 ? sum / n : SECOND / 5.0;
-        }
-
         private boolean looksBad() {
             double bad = failures.read(nowUs);
             double all = bad + answers.read(nowUs);
@@ -751,7 +745,8 @@
                 return false;
             }
             if (build.onTrial() && !out.isEmpty()
-                    && workRate() + rq.costUs / WORK_MEMORY_US > TRIAL_TIMES * able() * workPerPlace()) {
+                    && (out.size() >= 1 + perUs * TRIAL_WAIT * usualSlowness(kind) * meanCost()
+                    || workRate() + rq.costUs / WORK_MEMORY_US > TRIAL_TIMES * able() * workPerPlace())) {
                 return false;
             }
             return !cold() || coldRoom(rq);
@@ -784,7 +779,7 @@
 
         private double expectedWait() {
             double n = answers.read(nowUs);
-            double slow = (slowness.read(nowUs) + fleetSlowness()) / (n + 1);
+            double slow = (slowness.read(nowUs) + usualSlowness(kind)) / (n + 1);
             double queue = nowUs - waitingAtUs < SECOND ? waiting : 0;
             return slow * (out.size() + 1 + queue);
         }
@@ -803,14 +798,32 @@
         return sum / places;
     }
 
-    private double fleetSlowness() {
+    /** Time per announced work at the units not on trial: of one kind where any has answered, else of all. */
+    private double usualSlowness(int kind) {
         double sum = 0;
         double n = 0;
+        double kindSum = 0;
+        double kindN = 0;
         for (Unit u : units.values()) {
-            sum += u.slowness.read(nowUs);
-            n += u.answers.read(nowUs);
+            if (!u.build.onTrial()) {
+                sum += u.slowness.read(nowUs);
+                n += u.answers.read(nowUs);
+                kindSum += u.kind == kind ? u.slowness.read(nowUs) : 0;
+                kindN += u.kind == kind ? u.answers.read(nowUs) : 0;
+            }
+        }
+        return kindN >= 1 ? kindSum / kindN : n >= 1 ? sum / n : 1.5;
+    }
+
+    /** Announced work of a req, on average of late. */
+    private double meanCost() {
+        double sum = 0;
+        double n = 0;
+        for (int i = 0; i < routeCost.length; i++) {
+            sum += routeCost[i].read(nowUs);
+            n += routeCount[i].read(nowUs);
         }
-        return n < 1 ? 1 : sum / n;
+        return n >= 1 ? sum / n : SECOND / 5.0;
     }
 
     // ---- The vote ---------------------------------------------------------------------------------------------
