--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -74,9 +74,9 @@
     // Units.
     private static final double SPEED_MEMORY_US = 4.0 * SECOND;
     private static final double RATE_MEMORY_US = 2.5 * SECOND;
-    private static final double WORK_MEMORY_US = 2.0 * SECOND;
+    private static final double WORK_MEMORY_US = 3.0 * SECOND;
     /** A unit on trial gets at most this multiple of the work that one place bears on average. */
-    private static final double TRIAL_TIMES = 1.35;
+    private static final double TRIAL_TIMES = 1.2;
     /** In flight at a unit on trial: one, and its measured rate x this multiple of the earlier build's time. */
     private static final double TRIAL_WAIT = 1.3;
     /** A confident fail must last this long before it votes back: one look in many fails by chance. */
@@ -374,7 +374,8 @@
             if (unit.build.onTrial()) {
                 unit.build.spend(routeNo);
             }
-            Try t = new Try(this, tries.size(), unit, nowUs, unit.workRate());
+            Try t = new Try(this, tries.size(), unit, nowUs,
+                unit.workRate() * usualSlowness(unit.kind));
             tries.add(t);
             outNow++;
             unit.sent(t);
@@ -746,7 +747,8 @@
             }
             if (build.onTrial() && !out.isEmpty()
                     && (out.size() >= 1 + perUs * TRIAL_WAIT * usualSlowness(kind) * meanCost()
-                    || workRate() + rq.costUs / WORK_MEMORY_US > TRIAL_TIMES * able() * workPerPlace())) {
+                    || workRate() > TRIAL_TIMES * able() * workPerPlace()
+                        * usualSlowness(-1) / usualSlowness(kind))) {
                 return false;
             }
             return !cold() || coldRoom(rq);
@@ -958,7 +960,10 @@
             for (int i = 0; i < n; i++) {
                 for (Outcome o : slices.get(i).outcomes) {
                     if (!o.failed && o.ageUs > warmUs) {
-                        flat.add(new double[] {o.slowness / like.usual(o), i});
+                        double usual = like.usual(o);
+                        if (!Double.isNaN(usual)) {
+                            flat.add(new double[] {o.slowness / usual, i});
+                        }
                     }
                 }
             }
@@ -1051,14 +1056,14 @@
     }
 
     /**
-     * What the earlier build usually needs under like load: by machine kind and the work sent to the unit of late.
-     * Where it never bore as much, its nearest figure is raised a little for each step between.
+     * What the earlier build usually needs under like load: by machine kind and by the work sent to the unit of
+     * late, scaled by the kind's usual slowness. Where the earlier build never bore as much, there is no figure:
+     * a trial unit that the cap fills fuller than any other proves nothing by being slower.
      */
     private static final class LikeLoad {
         private static final int STEPS = 24;
-        private static final double STEP = 0.25;
-        private static final double RISE = 0.1;
-        private static final int ENOUGH = 12;
+        private static final double STEP = 0.2;
+        private static final int ENOUGH = 10;
         private final Map<Integer, double[][]> byKind = new HashMap<>();
         private final double[][] any = new double[2][STEPS];
         private double meanLoad;
@@ -1097,22 +1102,18 @@
         private static double near(double[][] table, int step) {
             double sum = 0;
             double n = 0;
-            for (int reach = 0; reach < STEPS && n < ENOUGH; reach++) {
-                for (int i = step - reach; i <= step + reach; i += Math.max(1, 2 * reach)) {
-                    if (i >= 0 && i < STEPS) {
-                        sum += table[0][i] * (1 + RISE * Math.max(0, step - i));
-                        n += table[1][i];
-                    }
-                }
+            for (int i = Math.max(0, step - 1); i < STEPS && (n < ENOUGH || i <= step + 1); i++) {
+                sum += table[0][i];
+                n += table[1][i];
             }
-            return n < 1 ? Double.NaN : sum / n;
+            return n < ENOUGH ? Double.NaN : sum / n;
         }
 
         double percentile(List<Slice> slices) {
             List<Double> values = new ArrayList<>();
             for (Slice s : slices) {
                 for (Outcome o : s.outcomes) {
-                    if (!o.failed) {
+                    if (!o.failed && !Double.isNaN(usual(o))) {
                         values.add(o.slowness / usual(o));
                     }
                 }
