--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -46,7 +46,7 @@
     private static final int FEWEST = 20;
     /** Page: the earlier build's percentile and the margin on it. */
     private static final double PERCENTILE = 0.9;
-    private static final double MARGIN = 1.25;
+    private static final double MARGIN = 1.5;
     /** Page: the bar on errors. */
     private static final double ERROR_BAR = 0.02;
     /** Page: a latency fail counts for 'back' only from units older than this. */
@@ -374,8 +374,7 @@
             if (unit.build.onTrial()) {
                 unit.build.spend(routeNo);
             }
-            Try t = new Try(this, tries.size(), unit, nowUs,
-                unit.workRate() * usualSlowness(unit.kind));
+            Try t = new Try(this, tries.size(), unit, nowUs, unit.out.size());
             tries.add(t);
             outNow++;
             unit.sent(t);
@@ -529,16 +528,16 @@
         private final int number;
         private final Unit unit;
         private final long sentUs;
-        private final double load;
+        private final int ahead;
         private Ending ending;
         private boolean cancelled;
 
-        Try(Rq rq, int number, Unit unit, long sentUs, double load) {
+        Try(Rq rq, int number, Unit unit, long sentUs, int ahead) {
             this.rq = rq;
             this.number = number;
             this.unit = unit;
             this.sentUs = sentUs;
-            this.load = load;
+            this.ahead = ahead;
         }
     }
 
@@ -644,6 +643,8 @@
         private final Sum answers = new Sum(SPEED_MEMORY_US);
         private final Sum failures = new Sum(SPEED_MEMORY_US);
         private final Sum rate = new Sum(RATE_MEMORY_US);
+        private final Sum ahead = new Sum(WORK_MEMORY_US);
+        private final Sum sends = new Sum(WORK_MEMORY_US);
         private final Sum work = new Sum(WORK_MEMORY_US);
         private final ArrayDeque<long[]> coldSends = new ArrayDeque<>();
         private long coldWork;
@@ -668,6 +669,8 @@
             if (out.isEmpty()) {
                 lastHeardUs = nowUs;
             }
+            ahead.add(nowUs, out.size());
+            sends.add(nowUs, 1);
             out.put(t, nowUs);
             lastSentUs = nowUs;
             if (cold()) {
@@ -704,7 +707,8 @@
                 waiting = load.waiting();
                 waitingAtUs = nowUs;
             }
-            build.slices.add(nowUs, this, failed, (double) tookUs / t.rq.costUs, t.load);
+            build.slices.add(nowUs, this, failed, (double) tookUs / t.rq.costUs,
+                (t.ahead + out.size()) / 2.0 + (charter.relays() - 1) * meanAhead());
         }
 
         /** Guards against a unit that stands still, has vanished or is cut off: silence, with reqs out. */
@@ -754,6 +758,11 @@
             return !cold() || coldRoom(rq);
         }
 
+        /** Own reqs that a new one finds here; other relays are taken to have as many. */
+        private double meanAhead() {
+            return ahead.read(nowUs) / Math.max(0.01, sends.read(nowUs));
+        }
+
         private double workRate() {
             return work.read(nowUs) / WORK_MEMORY_US;
         }
@@ -1056,27 +1065,17 @@
     }
 
     /**
-     * What the earlier build usually needs under like load: by machine kind and by the work sent to the unit of
-     * late, scaled by the kind's usual slowness. Where the earlier build never bore as much, there is no figure:
-     * a trial unit that the cap fills fuller than any other proves nothing by being slower.
+     * What the earlier build usually needs under like load: by machine kind and by the reqs in flight at the unit.
+     * Where the earlier build never had as many, there is no figure: a trial unit that the cap fills fuller than
+     * any other proves nothing by being slower.
      */
     private static final class LikeLoad {
         private static final int STEPS = 24;
-        private static final double STEP = 0.2;
         private static final int ENOUGH = 10;
         private final Map<Integer, double[][]> byKind = new HashMap<>();
         private final double[][] any = new double[2][STEPS];
-        private double meanLoad;
 
         LikeLoad(List<Slice> slices) {
-            int n = 0;
-            for (Slice s : slices) {
-                for (Outcome o : s.outcomes) {
-                    meanLoad += o.load;
-                    n++;
-                }
-            }
-            meanLoad = n == 0 || meanLoad <= 0 ? 1 : meanLoad / n;
             for (Slice s : slices) {
                 for (Outcome o : s.outcomes) {
                     if (!o.failed) {
@@ -1090,7 +1089,7 @@
         }
 
         private int step(Outcome o) {
-            return Math.min(STEPS - 1, (int) (o.load / meanLoad / STEP));
+            return Math.min(STEPS - 1, (int) o.load);
         }
 
         double usual(Outcome o) {
