--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -22,6 +22,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
 
 /**
@@ -59,6 +60,9 @@
     /** Slices of the trial, and of the earlier build, that are weighed: short enough to notice a late change. */
     private static final int TRIAL_SLICES = 8;
     private static final int EARLIER_SLICES = 20;
+    /** Like load: steps of one req in flight, and the fewest outcomes of the earlier build that make a figure. */
+    private static final int LOAD_STEPS = 24;
+    private static final int LIKE_FEWEST = 10;
     /** A confident fail needs this many slices: two can't show a spread. */
     private static final int FEWEST_SLICES = 3;
     /** How long a released build is watched. */
@@ -279,7 +283,7 @@
         Unit u = units.get(unit);
         if (u != null && nowUs - agoUs >= u.startUs) {
             // A wrong answer is an error of the build; it looked like any other when it came.
-            u.build.slices.add(nowUs, u, true, 0, 0);
+            u.build.record(u, true, 0, 0);
         }
     }
 
@@ -318,7 +322,6 @@
         private final long token = nextToken++;
         private final List<Try> tries = new ArrayList<>(2);
         private boolean over;
-        private boolean streaming;
         private int outNow;
 
         Rq(String id, int routeNo, int tenant, long key, long endUs, long costUs) {
@@ -494,7 +497,6 @@
         @Override
         public void headCame(long now, int tryNo) {
             nowUs = now;
-            streaming = true;
             finish();
         }
 
@@ -547,7 +549,7 @@
     private final class Build {
         private final int number;
         private final List<Unit> ready = new ArrayList<>();
-        private final Slices slices = new Slices();
+        private final ArrayDeque<Slice> slices = new ArrayDeque<>();
         private final double[] tokens;
 
         Build(int number) {
@@ -556,6 +558,26 @@
             Arrays.fill(tokens, charter.rollout().free());
         }
 
+        private void record(Unit unit, boolean failed, double slowness, double load) {
+            long number = nowUs / SLICE_US;
+            if (slices.isEmpty() || slices.peekLast().number != number) {
+                slices.add(new Slice(number));
+                if (slices.size() > EARLIER_SLICES) {
+                    slices.poll();
+                }
+            }
+            long ageUs = unit.startUs > 0 ? nowUs - unit.startUs : Long.MAX_VALUE;
+            slices.peekLast().outcomes.add(new Outcome(failed, slowness, unit.kind, load, ageUs));
+            slices.peekLast().failed += failed ? 1 : 0;
+        }
+
+        /** Up to so many of the latest slices with outcomes, none before the numbered one. */
+        private List<Slice> latest(int most, long from) {
+            List<Slice> found = new ArrayList<>(slices);
+            found.removeIf(s -> s.number < from);
+            return found.subList(Math.max(0, found.size() - most), found.size());
+        }
+
         private boolean onTrial() {
             return number > newest || number == newest && phase != Phase.RELEASED;
         }
@@ -577,16 +599,16 @@
          * Kept as tokens, at most 'free' of them, so that no window can open after the reqs that earned the room.
          */
         private void earn(int route) {
-            int i = tokens.length == 1 ? 0 : route;
+            int i = Math.min(route, tokens.length - 1);
             tokens[i] = Math.min(charter.rollout().free(), tokens[i] + capNow());
         }
 
         private void spend(int route) {
-            tokens[tokens.length == 1 ? 0 : route] -= 1;
+            tokens[Math.min(route, tokens.length - 1)] -= 1;
         }
 
         private boolean mayTake(Rq rq) {
-            return capNow() > 0 && tokens[tokens.length == 1 ? 0 : rq.routeNo] >= 1
+            return capNow() > 0 && tokens[Math.min(rq.routeNo, tokens.length - 1)] >= 1
                 && (stageNow() >= charter.rollout().guardedStages()
                     || rq.route.repeat() == Route.Repeat.RETRIABLE)
                 && allowedFor(rq);
@@ -694,7 +716,7 @@
                 answers.add(nowUs, 1);
                 routeCost[t.rq.routeNo].add(nowUs, t.rq.hinted ? t.rq.costUs : tookUs);
                 routeCount[t.rq.routeNo].add(nowUs, 1);
-                if (build.onTrial() && charter.rollout().oneWay() && t.rq.key != NO_KEY) {
+                if (build.number >= newest && charter.rollout().oneWay() && t.rq.key != NO_KEY) {
                     pinned.merge(t.rq.key, build.number, Math::max);
                 }
             } else {
@@ -707,7 +729,7 @@
                 waiting = load.waiting();
                 waitingAtUs = nowUs;
             }
-            build.slices.add(nowUs, this, failed, (double) tookUs / t.rq.costUs,
+            build.record(this, failed, (double) tookUs / t.rq.costUs,
                 (t.ahead + out.size()) / 2.0 + (charter.relays() - 1) * meanAhead());
         }
 
@@ -873,7 +895,7 @@
     private Build earlierThan(int number) {
         Build best = null;
         for (Build b : builds.headMap(number).values()) {
-            if (!withdrawn.contains(b.number) && b.slices.total > 0) {
+            if (!withdrawn.contains(b.number) && !b.slices.isEmpty()) {
                 best = b;
             }
         }
@@ -919,37 +941,39 @@
      * against the bars.
      */
     private Finding compare(Build trial, Build earlier) {
-        List<Slice> mine = trial.slices.since(nowUs / SLICE_US - TRIAL_SLICES);
-        int count = 0;
-        for (Slice s : mine) {
-            count += s.outcomes.size();
-        }
-        if (earlier == null || count < FEWEST) {
+        List<Slice> mine = trial.latest(TRIAL_SLICES, nowUs / SLICE_US - TRIAL_SLICES);
+        int[] seen = count(mine);
+        if (earlier == null || seen[0] < FEWEST) {
             return Finding.NO_VERDICT;
         }
-        List<Slice> theirs = earlier.slices.latest(EARLIER_SLICES);
-        int all = 0;
-        int bad = 0;
-        for (Slice s : theirs) {
-            for (Outcome o : s.outcomes) {
-                all++;
-                bad += o.failed ? 1 : 0;
+        List<Slice> theirs = earlier.latest(EARLIER_SLICES, 0);
+        int[] seenThere = count(theirs);
+        double errorBar = Math.max(ERROR_BAR, MARGIN * seenThere[1] / Math.max(1, seenThere[0]));
+        double[] errors = interval(mine.size(), times -> {
+            double all = 0;
+            double bad = 0;
+            for (int i = 0; i < times.length; i++) {
+                all += times[i] * mine.get(i).outcomes.size();
+                bad += times[i] * mine.get(i).failed;
             }
-        }
-        double errorBar = Math.max(ERROR_BAR, MARGIN * bad / Math.max(1, all));
-        double[] errors = interval(mine, -1, null);
+            return all == 0 ? 0 : bad / all;
+        });
         boolean enough = mine.size() >= FEWEST_SLICES;
-        ground = String.format("%d outcomes, errors %.3f to %.3f, bar %.3f", count, errors[0], errors[1],
+        ground = String.format("%d outcomes, errors %.3f to %.3f, bar %.3f", seen[0], errors[0], errors[1],
             errorBar);
         if (errors[0] > errorBar && enough) {
             return Finding.ERRORS;
         }
         LikeLoad like = new LikeLoad(theirs);
-        double bar = like.percentile(theirs) * MARGIN;
-        double[] slow = interval(mine, PERCENTILE, like);
-        if (slow == null || Double.isNaN(bar)) {
+        double[][] there = like.against(theirs, false);
+        double[][] here = like.against(mine, true);
+        if (here.length < FEWEST || there.length == 0) {
             return Finding.NO_VERDICT;
         }
+        int[] once = new int[theirs.size()];
+        Arrays.fill(once, 1);
+        double bar = MARGIN * percentile(there, once);
+        double[] slow = interval(mine.size(), times -> percentile(here, times));
         ground += String.format(", slowness %.2f to %.2f, bar %.2f", slow[0], slow[1], bar);
         if (slow[0] > bar && enough) {
             return Finding.SLOW;
@@ -957,63 +981,48 @@
         return errors[1] < errorBar && slow[1] < bar ? Finding.PASS : Finding.CLOSE;
     }
 
-    /** An interval over slices: of the share of errors, or with {@code like} of a percentile of the latency. */
-    private double[] interval(List<Slice> slices, double percentile, LikeLoad like) {
-        int n = slices.size();
-        double[] found = new double[DRAWS];
-        long[] times = new long[n];
-        double[][] sorted = null;
-        long warmUs = Math.max(WARM_UP_US, charter.warmWithinUs());
-        if (like != null) {
-            List<double[]> flat = new ArrayList<>();
-            for (int i = 0; i < n; i++) {
-                for (Outcome o : slices.get(i).outcomes) {
-                    if (!o.failed && o.ageUs > warmUs) {
-                        double usual = like.usual(o);
-                        if (!Double.isNaN(usual)) {
-                            flat.add(new double[] {o.slowness / usual, i});
-                        }
-                    }
-                }
-            }
-            if (flat.size() < FEWEST) {
-                return null;
-            }
-            sorted = flat.toArray(new double[0][]);
-            Arrays.sort(sorted, (a, b) -> Double.compare(b[0], a[0]));
+    /** Outcomes in these slices, and failed ones. */
+    private static int[] count(List<Slice> slices) {
+        int[] seen = new int[2];
+        for (Slice s : slices) {
+            seen[0] += s.outcomes.size();
+            seen[1] += s.failed;
         }
+        return seen;
+    }
+
+    /** The interval of a figure over redrawn slices; it is given how often each slice was drawn. */
+    private double[] interval(int slices, ToDoubleFunction<int[]> figure) {
+        double[] found = new double[DRAWS];
         for (int d = 0; d < DRAWS; d++) {
-            Arrays.fill(times, 0);
-            for (int i = 0; i < n; i++) {
-                times[chance.nextInt(n)]++;
-            }
-            double total = 0;
-            double bad = 0;
-            if (sorted == null) {
-                for (int i = 0; i < n; i++) {
-                    total += times[i] * slices.get(i).outcomes.size();
-                    bad += times[i] * slices.get(i).failed;
-                }
-                found[d] = total == 0 ? 0 : bad / total;
-            } else {
-                for (double[] v : sorted) {
-                    total += times[(int) v[1]];
-                }
-                double above = 0;
-                for (double[] v : sorted) {
-                    above += times[(int) v[1]];
-                    if (above >= total * (1 - percentile)) {
-                        found[d] = v[0];
-                        break;
-                    }
-                }
+            int[] times = new int[slices];
+            for (int i = 0; i < slices; i++) {
+                times[chance.nextInt(slices)]++;
             }
+            found[d] = figure.applyAsDouble(times);
         }
         Arrays.sort(found);
-        return new double[] {found[(int) (DRAWS * TAIL)], found[DRAWS - 1 - (int) (DRAWS * TAIL)]};
+        int cut = (int) (DRAWS * TAIL);
+        return new double[] {found[cut], found[DRAWS - 1 - cut]};
+    }
+
+    /** The percentile of rows {value, slice}, highest first, each counted as often as its slice. */
+    private static double percentile(double[][] rows, int[] times) {
+        double all = 0;
+        for (double[] row : rows) {
+            all += times[(int) row[1]];
+        }
+        double above = 0;
+        for (double[] row : rows) {
+            above += times[(int) row[1]];
+            if (above > 0 && above >= all * (1 - PERCENTILE)) {
+                return row[0];
+            }
+        }
+        return 0;
     }
 
-    /** One outcome, as the verdict needs it: time per announced work, machine kind, reqs ahead, age of the unit. */
+    /** One outcome, as the verdict needs it: time per announced work, machine kind, reqs in flight, unit's age. */
     private record Outcome(boolean failed, double slowness, int kind, double load, long ageUs) {
     }
 
@@ -1028,100 +1037,57 @@
         }
     }
 
-    /** A build's outcomes by slice, the latest few. */
-    private static final class Slices {
-        private final ArrayDeque<Slice> kept = new ArrayDeque<>();
-        private long total;
-
-        void add(long nowUs, Unit unit, boolean failed, double slowness, double load) {
-            long number = nowUs / SLICE_US;
-            if (kept.isEmpty() || kept.peekLast().number != number) {
-                kept.add(new Slice(number));
-                if (kept.size() > EARLIER_SLICES + 1) {
-                    kept.poll();
-                }
-            }
-            Slice s = kept.peekLast();
-            long age = unit.startUs > 0 ? nowUs - unit.startUs : Long.MAX_VALUE;
-            s.outcomes.add(new Outcome(failed, slowness, unit.kind, load, age));
-            s.failed += failed ? 1 : 0;
-            total++;
-        }
-
-        List<Slice> since(long number) {
-            List<Slice> found = new ArrayList<>();
-            for (Slice s : kept) {
-                if (s.number >= number) {
-                    found.add(s);
-                }
-            }
-            return found;
-        }
-
-        List<Slice> latest(int count) {
-            List<Slice> found = new ArrayList<>(kept);
-            return found.size() <= count ? found : found.subList(found.size() - count, found.size());
-        }
-    }
-
     /**
      * What the earlier build usually needs under like load: by machine kind and by the reqs in flight at the unit.
      * Where the earlier build never had as many, there is no figure: a trial unit that the cap fills fuller than
      * any other proves nothing by being slower.
      */
-    private static final class LikeLoad {
-        private static final int STEPS = 24;
-        private static final int ENOUGH = 10;
-        private final Map<Integer, double[][]> byKind = new HashMap<>();
-        private final double[][] any = new double[2][STEPS];
+    private final class LikeLoad {
+        private static final int ANY_KIND = -1;
+        private final Map<Integer, double[][]> usual = new HashMap<>();
 
         LikeLoad(List<Slice> slices) {
             for (Slice s : slices) {
                 for (Outcome o : s.outcomes) {
-                    if (!o.failed) {
-                        for (double[][] t : List.of(any, byKind.computeIfAbsent(o.kind, x -> new double[2][STEPS]))) {
-                            t[0][step(o)] += o.slowness;
-                            t[1][step(o)] += 1;
-                        }
+                    for (int kind : new int[] {ANY_KIND, o.kind}) {
+                        double[][] table = usual.computeIfAbsent(kind, k -> new double[2][LOAD_STEPS]);
+                        table[0][step(o)] += o.failed ? 0 : o.slowness;
+                        table[1][step(o)] += o.failed ? 0 : 1;
                     }
                 }
             }
         }
 
-        private int step(Outcome o) {
-            return Math.min(STEPS - 1, (int) o.load);
+        private static int step(Outcome o) {
+            return Math.min(LOAD_STEPS - 1, (int) o.load);
         }
 
-        double usual(Outcome o) {
-            double[][] k = byKind.get(o.kind);
-            double found = k == null ? Double.NaN : near(k, step(o));
-            return Double.isNaN(found) ? near(any, step(o)) : found;
-        }
-
-        private static double near(double[][] table, int step) {
+        private double usual(int kind, Outcome o) {
             double sum = 0;
             double n = 0;
-            for (int i = Math.max(0, step - 1); i < STEPS && (n < ENOUGH || i <= step + 1); i++) {
+            double[][] table = usual.getOrDefault(kind, new double[2][LOAD_STEPS]);
+            for (int i = Math.max(0, step(o) - 1); i < LOAD_STEPS && (n < LIKE_FEWEST || i <= step(o) + 1); i++) {
                 sum += table[0][i];
                 n += table[1][i];
             }
-            return n < ENOUGH ? Double.NaN : sum / n;
+            return n < LIKE_FEWEST ? Double.NaN : sum / n;
         }
 
-        double percentile(List<Slice> slices) {
-            List<Double> values = new ArrayList<>();
-            for (Slice s : slices) {
-                for (Outcome o : s.outcomes) {
-                    if (!o.failed && !Double.isNaN(usual(o))) {
-                        values.add(o.slowness / usual(o));
+        /** Rows {slowness against the usual, slice}, highest first, of what has a like; warm units' only, if so. */
+        double[][] against(List<Slice> slices, boolean warmOnly) {
+            List<double[]> rows = new ArrayList<>();
+            for (int i = 0; i < slices.size(); i++) {
+                for (Outcome o : slices.get(i).outcomes) {
+                    double usual = usual(o.kind, o);
+                    usual = Double.isNaN(usual) ? usual(ANY_KIND, o) : usual;
+                    if (!o.failed && !Double.isNaN(usual)
+                            && (!warmOnly || o.ageUs > Math.max(WARM_UP_US, charter.warmWithinUs()))) {
+                        rows.add(new double[] {o.slowness / usual, i});
                     }
                 }
             }
-            if (values.isEmpty()) {
-                return Double.NaN;
-            }
-            values.sort(null);
-            return values.get((int) (PERCENTILE * (values.size() - 1)));
+            rows.sort((a, b) -> Double.compare(b[0], a[0]));
+            return rows.toArray(new double[0][]);
         }
     }
 
