--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -17,6 +17,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -26,52 +27,51 @@
 import java.util.random.RandomGenerator;
 
 /**
- * THE module: every decision of one relay. It is called through {@link Gate} and {@link Handle} and calls out on
- * {@link Outlet}; all three stand in gatelock.relay. A relay calls it from one thread; its clock is the calls'.
+ * THE module: every decision of one relay. It is called through {@link Gate} and {@link Handle} and calls out
+ * on {@link Outlet}; all three stand in gatelock.relay. One thread calls it; its clock is the calls'.
  *
- * <p>Read {@link Rq#place()} first: it is the ordinary path of a req. Then {@link #weigh}: the ordinary path of a
- * vote. The rest is what these two ask: what a build may get (Build), what a unit may get (Unit), how outcomes
- * are weighed (Slices).
+ * <p>Read {@link Rq#place} first, the ordinary path of a req, then {@link #weigh}, that of a vote. The rest
+ * is what these two ask: what a build may get (Build), what a unit may (Unit), how outcomes are weighed.
  */
 public final class ReleaseGate implements Gate {
 
-    // ---- Tuned values -------------------------------------------------------------------------------------
+    // ---- Tuned values ---------------------------------------------------------------------------------
     private static final long SECOND = 1_000_000;
     /** Housekeeping: silence is looked for and the verdict is drawn this often. */
     private static final long BEAT_US = SECOND / 4;
 
-    // The verdict. "Page" marks what the design page gives.
-    /** Page: outcomes go in slices of this length. */
+    // The verdict; "page" marks what the design page gives.
+    /** Page: outcomes go in slices of this length; fewer trial outcomes than this give no verdict. */
     private static final long SLICE_US = SECOND;
-    /** Page: fewer trial outcomes than this give no verdict. */
     private static final int FEWEST = 20;
-    /** Page: the earlier build's percentile and the margin on it. */
+    /** Page: the percentile. Ours: the margin, 1.5 for 1.25, as units of one kind differ by a fifth. */
     private static final double PERCENTILE = 0.9;
     private static final double MARGIN = 1.5;
     /** Page: the bar on errors. */
     private static final double ERROR_BAR = 0.02;
-    /** Page: a latency fail counts for 'back' only from units older than this. */
+    /** Page: latency counts from units older than this, or than the time in which they are surely warm. */
     private static final long WARM_UP_US = 3 * SECOND;
-    /** Page: a close call holds for this long past the stage's least time. */
+    /** Ours: a close call holds for this long past the stage's least time (page: 3 s). */
     private static final long PATIENCE_US = SECOND;
     /** The interval: draws, and the share left out at either end (95%). */
     private static final int DRAWS = 200;
     private static final double TAIL = 0.025;
-    /** Slices of the trial, and of the earlier build, that are weighed: short enough to notice a late change. */
+    /** Slices weighed of the trial and of the earlier build: few enough to notice a late change. */
     private static final int TRIAL_SLICES = 8;
     private static final int EARLIER_SLICES = 20;
-    /** Like load: steps of one req in flight, and the fewest outcomes of the earlier build that make a figure. */
-    private static final int LOAD_STEPS = 24;
-    private static final int LIKE_FEWEST = 10;
     /** A confident fail needs this many slices: two can't show a spread. */
     private static final int FEWEST_SLICES = 3;
+    /** A confident fail must last this long before it votes back: one look in many fails by chance. */
+    private static final long CONFIRM_US = 3 * SECOND / 2;
+    /** Like load: steps of one req in flight, and how many earlier outcomes make a figure. */
+    private static final int LOAD_STEPS = 24;
+    private static final int LIKE_FEWEST = 10;
     /** How long a released build is watched. */
     private static final long WATCH_US = 12 * SECOND;
-    /** From a stage's machines being up to its clock running. */
+    /** A stage's clock runs this long after its machines are up, or after its start at the latest. */
     private static final long CLOCK_LAG_US = SECOND;
     private static final long CLOCK_LATEST_US = 8 * SECOND;
-
-    // Votes.
+    /** Votes: renewed after this share of their life; the wait after one that was turned away. */
     private static final double RENEW_AT = 0.6;
     private static final long REVOTE_US = 400_000;
 
@@ -79,21 +79,19 @@
     private static final double SPEED_MEMORY_US = 4.0 * SECOND;
     private static final double RATE_MEMORY_US = 2.5 * SECOND;
     private static final double WORK_MEMORY_US = 3.0 * SECOND;
-    /** A unit on trial gets at most this multiple of the work that one place bears on average. */
-    private static final double TRIAL_TIMES = 1.2;
-    /** In flight at a unit on trial: one, and its measured rate x this multiple of the earlier build's time. */
-    private static final double TRIAL_WAIT = 1.3;
-    /** A confident fail must last this long before it votes back: one look in many fails by chance. */
-    private static final long CONFIRM_US = 3 * SECOND / 2;
     /** In flight at a unit: its measured rate x this share of the route's objective, plus a floor. */
     private static final double OBJECTIVE_SHARE = 0.6;
     private static final double INFLIGHT_FLOOR = 4;
     /** Of that room, the least valuable reqs may use this much. */
     private static final double ROOM_FOR_LEAST = 0.5;
+    /** A unit on trial bears at most this multiple of the work of one place, by its kind's speed. */
+    private static final double TRIAL_TIMES = 1.2;
+    /** In flight at a unit on trial: one, and measured rate x this multiple of the earlier build's time. */
+    private static final double TRIAL_WAIT = 1.3;
     /** Silence: nothing came back for this long plus a multiple of the usual time, with reqs out. */
     private static final long SILENT_US = 700_000;
     private static final double SILENT_TIMES = 4;
-    /** Out of use: share of errors among its latest outcomes, with at least so many. */
+    /** Out of use: this share of errors among its latest outcomes, with at least so many. */
     private static final double SICK_ERRORS = 0.35;
     private static final double SICK_FEWEST = 4;
     /** A unit out of use is tried with one req this often. */
@@ -104,14 +102,13 @@
     private static final double COLD_PART = 0.8;
     private static final double COLD_TIMES = 1.5;
 
-    // Further tries and shedding.
+    // Further tries, shedding, the list.
     private static final double RETRY_SHARE = 0.1;
     private static final double RETRY_BURST = 5;
     private static final long SHED_PAUSE_US = 500_000;
-    /** The list: first wait after a failed call, doubled up to the last. */
     private static final long ASK_AGAIN_US = 300_000;
     private static final long ASK_SLOWEST_US = 4 * SECOND;
-    // --------------------------------------------------------------------------------------------------------
+    // ---------------------------------------------------------------------------------------------------
 
     private static final long BEAT = 0;
     private static final long ASK_LIST = 1;
@@ -123,10 +120,8 @@
     private final TreeMap<Integer, Build> builds = new TreeMap<>();
     private final Map<Long, Rq> byToken = new HashMap<>();
     private final Map<Long, Integer> pinned = new HashMap<>();
-    private final Sum[] routeCost;
-    private final Sum[] routeCount;
-    private final Sum[] tenantRate;
-    private final double topValue;
+    private final Fading[] cost;
+    private final Fading[] tenantRate;
     private long nowUs;
     private long nextToken = 2;
     private double retryTokens = RETRY_BURST;
@@ -143,36 +138,24 @@
 
     // This relay's vote.
     private Verdict stands = Verdict.NONE;
-    private int standsFor = -1;
     private long castUs;
     private boolean answerDue;
-    private String ground = "";
-    private long failsSinceUs = Long.MAX_VALUE;
     private long voteNotBeforeUs;
+    private long failsSinceUs = Long.MAX_VALUE;
+    private String ground = "";
 
     /** The decisions of one relay, from what it is told at its start and its way out. */
     public ReleaseGate(Charter charter, Outlet out) {
         this.charter = charter;
         this.out = out;
         this.chance = new SplittableRandom(charter.seed());
-        int routes = charter.routes().size();
-        routeCost = new Sum[routes];
-        routeCount = new Sum[routes];
-        double top = 0;
-        for (int i = 0; i < routes; i++) {
-            routeCost[i] = new Sum(20.0 * SECOND);
-            routeCount[i] = new Sum(20.0 * SECOND);
-            top = Math.max(top, charter.routes().get(i).value());
-        }
-        topValue = top;
-        tenantRate = new Sum[charter.tenants().size()];
-        for (int i = 0; i < tenantRate.length; i++) {
-            tenantRate[i] = new Sum(RATE_MEMORY_US);
-        }
+        this.cost = new Fading[charter.routes().size()];
+        this.tenantRate = new Fading[charter.tenants().size()];
+        Arrays.setAll(cost, i -> new Fading(20.0 * SECOND));
+        Arrays.setAll(tenantRate, i -> new Fading(RATE_MEMORY_US));
     }
 
-
-    // ---- What happens to the relay --------------------------------------------------------------------------
+    // ---- What happens to the relay ----------------------------------------------------------------------
 
     @Override
     public void start(long nowUs) {
@@ -213,15 +196,7 @@
         }
         askWaitUs = ASK_AGAIN_US;
         if (form != ListForm.DELTA) {
-            Set<String> present = new HashSet<>();
-            for (Listed l : entries) {
-                present.add(l.unit());
-            }
-            for (Unit u : units.values()) {
-                if (!present.contains(u.id)) {
-                    u.health = Listed.Health.GONE;
-                }
-            }
+            units.values().forEach(u -> u.health = Listed.Health.GONE);
         }
         for (Listed l : entries) {
             Unit u = units.get(l.unit());
@@ -232,9 +207,7 @@
             }
             u.health = l.health();
         }
-        for (Build b : builds.values()) {
-            b.ready.clear();
-        }
+        builds.values().forEach(b -> b.ready.clear());
         for (Unit u : units.values()) {
             if (u.health == Listed.Health.READY) {
                 u.build.ready.add(u);
@@ -243,36 +216,31 @@
     }
 
     @Override
-    public void news(long nowUs, int build, int stage, Phase phase, double cap, long agoUs, VoteAnswer answer) {
+    public void news(long nowUs, int build, int stage, Phase phase, double cap, long agoUs,
+                     VoteAnswer answer) {
         this.nowUs = nowUs;
-        if (answer != VoteAnswer.NOT_ASKED) {
-            answerDue = false;
-        }
+        answerDue &= answer == VoteAnswer.NOT_ASKED;
         if (answer != VoteAnswer.NOT_ASKED && answer != VoteAnswer.COUNTED) {
-            // Guards against hammering a desk that turns votes away, whatever its reason.
+            // Guards against hammering a desk that turns votes away or is silent, whatever its reason.
             stands = Verdict.NONE;
             voteNotBeforeUs = nowUs + REVOTE_US + chance.nextLong(REVOTE_US);
             return;
         }
         boolean moved = build != newest || stage != this.stage || phase != this.phase;
-        if (build != newest || stage != this.stage) {
-            if (stands != Verdict.BACK || build != newest) {
-                stands = Verdict.NONE;
-            }
+        if (build != newest || stage != this.stage && stands != Verdict.BACK) {
+            stands = Verdict.NONE;
         }
         newest = build;
         this.stage = stage;
         this.phase = phase;
         this.cap = phase == Phase.TRIAL || phase == Phase.RELEASED ? cap : 0;
-        if (moved) {
-            stageFromUs = nowUs - agoUs;
-        }
         if (phase == Phase.REVERTING || phase == Phase.WITHDRAWN) {
             withdrawn.add(build);
         } else {
             withdrawn.remove(build);
         }
         if (moved) {
+            stageFromUs = nowUs - agoUs;
             weigh();
         }
     }
@@ -290,24 +258,20 @@
     @Override
     public void due(long nowUs, long token) {
         this.nowUs = nowUs;
-        if (token == BEAT) {
+        Rq rq = byToken.get(token);
+        if (rq != null) {
+            rq.giveUp();
+        } else if (token == BEAT) {
             out.timer(BEAT_US, BEAT);
-            for (Unit u : units.values()) {
-                u.lookForSilence();
-            }
+            units.values().forEach(Unit::lookForSilence);
             weigh();
         } else if (token == ASK_LIST) {
             askSet = false;
             out.followList();
-        } else {
-            Rq rq = byToken.get(token);
-            if (rq != null && !rq.over) {
-                rq.giveUp();
-            }
         }
     }
 
-    // ---- A req ------------------------------------------------------------------------------------------------
+    // ---- A req --------------------------------------------------------------------------------------------
 
     /** A req that was taken. */
     private final class Rq implements Handle {
@@ -324,34 +288,31 @@
         private boolean over;
         private int outNow;
 
-        Rq(String id, int routeNo, int tenant, long key, long endUs, long costUs) {
+        Rq(String id, int routeNo, int tenant, long key, long endUs, long hintUs) {
             this.id = id;
             this.routeNo = routeNo;
             this.route = charter.routes().get(routeNo);
             this.tenant = tenant;
             this.key = key;
             this.endUs = endUs;
-            double usual = routeCount[routeNo].read(nowUs) > 1
-                ? routeCost[routeNo].read(nowUs) / routeCount[routeNo].read(nowUs) : route.objectiveUs() / 8.0;
-            this.hinted = costUs > 0;
-            this.costUs = costUs > 0 ? costUs : Math.max(1, (long) usual);
+            this.hinted = hintUs > 0;
+            this.costUs = hinted ? hintUs
+                : Math.max(1, (long) cost[routeNo].mean(nowUs, route.objectiveUs() / 8.0));
         }
 
         /** The ordinary path, for a first try and for any further one. */
         private void place() {
             boolean first = tries.isEmpty();
             Unit unit = null;
-            if (first) {
-                // 1. First sends fill the cap of the build on trial.
-                for (Build b : builds.descendingMap().values()) {
-                    if (b.onTrial() && unit == null && b.mayTake(this)) {
-                        unit = b.pick(this);
-                    }
+            // 1. First sends fill the cap of the build on trial.
+            for (Build b : builds.descendingMap().values()) {
+                if (unit == null && first && b.onTrial() && b.mayTake(this)) {
+                    unit = b.pick(this);
                 }
             }
             // 2. The rest goes to the released build, and what it has no room for to those before it.
             for (Build b : builds.descendingMap().values()) {
-                if (unit == null && !b.onTrial() && !withdrawn.contains(b.number) && b.allowedFor(this)) {
+                if (unit == null && !b.onTrial() && !withdrawn.contains(b.number) && b.keyAllows(this)) {
                     unit = b.pick(this);
                 }
             }
@@ -361,19 +322,10 @@
                     unit = b.pick(this);
                 }
             }
-            if (unit == null) {
+            if (unit == null || nowUs >= endUs) {
                 turnAway();
                 return;
             }
-            send(unit);
-        }
-
-        private void send(Unit unit) {
-            long left = endUs - nowUs;
-            if (left <= 0) {
-                giveUp();
-                return;
-            }
             if (unit.build.onTrial()) {
                 unit.build.spend(routeNo);
             }
@@ -386,23 +338,10 @@
 
         /** Whether every try so far is proven not to have run. */
         private boolean neverRan() {
-            for (Try t : tries) {
-                if (t.ending == null || !t.ending.neverRan) {
-                    return false;
-                }
-            }
-            return true;
-        }
-
-        private boolean mayShed() {
-            return switch (route.repeat()) {
-                case RETRIABLE -> true;
-                case DEDUPED -> route.group() == Route.Group.ALL || neverRan();
-                case NON_RETRIABLE -> neverRan();
-            };
+            return tries.stream().allMatch(Try::neverRan);
         }
 
-        /** Whether a further try may go to this unit: rule 2. */
+        /** Rule 2: whether a further try may go to this unit. */
         private boolean mayRepeatAt(Unit unit) {
             if (route.repeat() == Route.Repeat.RETRIABLE || neverRan()) {
                 return true;
@@ -410,38 +349,18 @@
             if (route.repeat() == Route.Repeat.NON_RETRIABLE) {
                 return false;
             }
-            for (Try t : tries) {
-                if (t.ending != null && t.ending.neverRan) {
-                    continue;
-                }
-                if (nowUs - t.sentUs > route.rememberUs() * 8 / 10) {
-                    return false;
-                }
-                boolean same = switch (route.group()) {
+            return tries.stream().allMatch(t -> t.neverRan()
+                || nowUs - t.sentUs < route.rememberUs() * 8 / 10 && switch (route.group()) {
                     case ALL -> true;
                     case ZONE -> t.unit.zone == unit.zone;
                     case CELL -> t.unit.cell == unit.cell;
-                };
-                if (!same) {
-                    return false;
-                }
-            }
-            return true;
-        }
-
-        private boolean tried(Unit unit) {
-            for (Try t : tries) {
-                if (t.unit == unit) {
-                    return true;
-                }
-            }
-            return false;
+                });
         }
 
         /** A try has failed: one more, within the budget, or the final answer at once. */
         private void again() {
             boolean may = neverRan() || route.repeat() != Route.Repeat.NON_RETRIABLE;
-            if (may && retryTokens >= 1 && tries.size() < charter.tryLimit() && nowUs < endUs) {
+            if (may && retryTokens >= 1 && tries.size() < charter.tryLimit()) {
                 retryTokens -= 1;
                 place();
             } else {
@@ -450,11 +369,10 @@
         }
 
         private void turnAway() {
-            if (over || outNow > 0) {
-                return;
-            }
+            boolean harmless = neverRan() || route.repeat() == Route.Repeat.RETRIABLE
+                || route.repeat() == Route.Repeat.DEDUPED && route.group() == Route.Group.ALL;
             finish();
-            if (mayShed()) {
+            if (harmless) {
                 out.shed(id, charter.pausesHeard() ? Math.min(charter.longestPauseUs(), SHED_PAUSE_US) : 0);
             } else {
                 out.error(id);
@@ -479,13 +397,10 @@
             t.ending = ending;
             outNow--;
             t.unit.ended(t, ending, tookUs, load);
-            if (isOver || over) {
-                if (!over) {
-                    finish();
-                }
+            if (over) {
                 return;
             }
-            if (ending == Ending.COMPLETED) {
+            if (isOver || ending == Ending.COMPLETED) {
                 finish();
             } else if (nowUs >= endUs) {
                 giveUp();
@@ -513,9 +428,10 @@
 
         /** How much of a unit's room this req may use: by its value beside the most valuable. */
         private double claim() {
-            double value = topValue > 0 ? route.value() / topValue : 1;
-            if (tenant < tenantRate.length && charter.tenants().get(tenant).quotaPerS() > 0) {
-                double perS = tenantRate[tenant].read(nowUs) / RATE_MEMORY_US * SECOND;
+            double top = charter.routes().stream().mapToDouble(Route::value).max().orElse(1);
+            double value = top > 0 ? route.value() / top : 1;
+            if (tenant < tenantRate.length) {
+                double perS = tenantRate[tenant].count(nowUs) * SECOND / RATE_MEMORY_US;
                 if (perS * charter.relays() > charter.tenants().get(tenant).quotaPerS() * 1.1) {
                     value *= charter.overShareValue();
                 }
@@ -541,41 +457,25 @@
             this.sentUs = sentUs;
             this.ahead = ahead;
         }
+
+        private boolean neverRan() {
+            return ending != null && ending.neverRan;
+        }
     }
 
-    // ---- A build ----------------------------------------------------------------------------------------------
+    // ---- A build ------------------------------------------------------------------------------------------
 
     /** One build: its units, what it may get, and what came back from it. */
     private final class Build {
         private final int number;
         private final List<Unit> ready = new ArrayList<>();
         private final ArrayDeque<Slice> slices = new ArrayDeque<>();
-        private final double[] tokens;
+        private final double[] room;
 
         Build(int number) {
             this.number = number;
-            tokens = new double[charter.rollout().perRoute() ? charter.routes().size() : 1];
-            Arrays.fill(tokens, charter.rollout().free());
-        }
-
-        private void record(Unit unit, boolean failed, double slowness, double load) {
-            long number = nowUs / SLICE_US;
-            if (slices.isEmpty() || slices.peekLast().number != number) {
-                slices.add(new Slice(number));
-                if (slices.size() > EARLIER_SLICES) {
-                    slices.poll();
-                }
-            }
-            long ageUs = unit.startUs > 0 ? nowUs - unit.startUs : Long.MAX_VALUE;
-            slices.peekLast().outcomes.add(new Outcome(failed, slowness, unit.kind, load, ageUs));
-            slices.peekLast().failed += failed ? 1 : 0;
-        }
-
-        /** Up to so many of the latest slices with outcomes, none before the numbered one. */
-        private List<Slice> latest(int most, long from) {
-            List<Slice> found = new ArrayList<>(slices);
-            found.removeIf(s -> s.number < from);
-            return found.subList(Math.max(0, found.size() - most), found.size());
+            room = new double[charter.rollout().perRoute() ? charter.routes().size() : 1];
+            Arrays.fill(room, charter.rollout().free());
         }
 
         private boolean onTrial() {
@@ -583,62 +483,49 @@
         }
 
         private double capNow() {
-            if (number == newest) {
-                return cap;
-            }
             double[] caps = charter.rollout().caps();
-            return caps.length == 0 ? 0 : caps[0];
-        }
-
-        private int stageNow() {
-            return number == newest ? stage : 0;
+            return number == newest ? cap : caps.length == 0 ? 0 : caps[0];
         }
 
         /**
-         * Rule 5, for any window: the count of tries since any moment stays under free + cap x reqs since then.
-         * Kept as tokens, at most 'free' of them, so that no window can open after the reqs that earned the room.
+         * Rule 5, for any window: the tries since any moment stay within free + cap x reqs since then. Kept
+         * as room that never exceeds 'free', so that no window can open after the reqs that earned it.
          */
         private void earn(int route) {
-            int i = Math.min(route, tokens.length - 1);
-            tokens[i] = Math.min(charter.rollout().free(), tokens[i] + capNow());
+            int i = Math.min(route, room.length - 1);
+            room[i] = Math.min(charter.rollout().free(), room[i] + capNow());
         }
 
         private void spend(int route) {
-            tokens[Math.min(route, tokens.length - 1)] -= 1;
+            room[Math.min(route, room.length - 1)] -= 1;
         }
 
         private boolean mayTake(Rq rq) {
-            return capNow() > 0 && tokens[Math.min(rq.routeNo, tokens.length - 1)] >= 1
-                && (stageNow() >= charter.rollout().guardedStages()
-                    || rq.route.repeat() == Route.Repeat.RETRIABLE)
-                && allowedFor(rq);
+            int stageNow = number == newest ? stage : 0;
+            return capNow() > 0 && room[Math.min(rq.routeNo, room.length - 1)] >= 1 && keyAllows(rq)
+                && (stageNow >= charter.rollout().guardedStages()
+                    || rq.route.repeat() == Route.Repeat.RETRIABLE);
         }
 
-        /** One-way keys: what a build has answered goes to no build before it. */
-        private boolean allowedFor(Rq rq) {
-            if (!charter.rollout().oneWay() || rq.key == NO_KEY) {
-                return true;
-            }
-            Integer floor = pinned.get(rq.key);
-            return floor == null || withdrawn.contains(floor) || number >= floor;
+        /** One-way keys: what a build has answered goes to no build before it, unless that was taken back. */
+        private boolean keyAllows(Rq rq) {
+            int floor = pinned.getOrDefault(rq.key, number);
+            return number >= floor || withdrawn.contains(floor);
         }
 
         /** Two random choices among the units with room, the one with the shorter expected wait. */
         private Unit pick(Rq rq) {
-            int bad = 0;
-            for (Unit u : ready) {
-                bad += u.looksBad() ? 1 : 0;
-            }
-            boolean trustHealth = bad <= MOST * ready.size();
+            boolean someBad = ready.stream().filter(Unit::looksBad).count() <= MOST * ready.size();
             List<Unit> open = new ArrayList<>(ready.size());
             for (Unit u : ready) {
-                if (u.hasRoom(rq) && rq.mayRepeatAt(u) && !rq.tried(u)) {
-                    if (!trustHealth || !u.looksBad()) {
-                        open.add(u);
-                    } else if (rq.route.repeat() == Route.Repeat.RETRIABLE && rq.tries.isEmpty()
-                            && nowUs - u.lastSentUs >= RETRY_UNIT_US) {
-                        return u;
-                    }
+                if (!u.hasRoom(rq) || !rq.mayRepeatAt(u) || rq.tries.stream().anyMatch(t -> t.unit == u)) {
+                    continue;
+                }
+                if (!someBad || !u.looksBad()) {
+                    open.add(u);
+                } else if (rq.route.repeat() == Route.Repeat.RETRIABLE && rq.tries.isEmpty()
+                        && nowUs - u.lastSentUs >= RETRY_UNIT_US) {
+                    return u;
                 }
             }
             if (open.isEmpty()) {
@@ -648,9 +535,29 @@
             Unit b = open.get(chance.nextInt(open.size()));
             return a.expectedWait() <= b.expectedWait() ? a : b;
         }
+
+        private void record(Unit unit, boolean failed, double slowness, double load) {
+            long number = nowUs / SLICE_US;
+            if (slices.isEmpty() || slices.peekLast().number != number) {
+                slices.add(new Slice(number));
+                if (slices.size() > EARLIER_SLICES) {
+                    slices.poll();
+                }
+            }
+            long ageUs = unit.startUs > 0 ? nowUs - unit.startUs : Long.MAX_VALUE;
+            slices.peekLast().outcomes.add(new Outcome(failed, slowness, unit.kind, load, ageUs));
+            slices.peekLast().failed += failed ? 1 : 0;
+        }
+
+        /** Up to so many of the latest slices with outcomes, none before the numbered one. */
+        private List<Slice> latest(int most, long from) {
+            List<Slice> found = new ArrayList<>(slices);
+            found.removeIf(s -> s.number < from);
+            return found.subList(Math.max(0, found.size() - most), found.size());
+        }
     }
 
-    // ---- A unit -----------------------------------------------------------------------------------------------
+    // ---- A unit -------------------------------------------------------------------------------------------
 
     /** One start of one unit. */
     private final class Unit {
@@ -660,14 +567,12 @@
         private final int kind;
         private final int cell;
         private final long startUs;
-        private final LinkedHashMap<Try, Long> out = new LinkedHashMap<>();
-        private final Sum slowness = new Sum(SPEED_MEMORY_US);
-        private final Sum answers = new Sum(SPEED_MEMORY_US);
-        private final Sum failures = new Sum(SPEED_MEMORY_US);
-        private final Sum rate = new Sum(RATE_MEMORY_US);
-        private final Sum ahead = new Sum(WORK_MEMORY_US);
-        private final Sum sends = new Sum(WORK_MEMORY_US);
-        private final Sum work = new Sum(WORK_MEMORY_US);
+        private final Set<Try> out = new LinkedHashSet<>();
+        private final Fading slowness = new Fading(SPEED_MEMORY_US);
+        private final Fading failures = new Fading(SPEED_MEMORY_US);
+        private final Fading answers = new Fading(RATE_MEMORY_US);
+        private final Fading ahead = new Fading(WORK_MEMORY_US);
+        private final Fading work = new Fading(WORK_MEMORY_US);
         private final ArrayDeque<long[]> coldSends = new ArrayDeque<>();
         private long coldWork;
         private Listed.Health health;
@@ -684,79 +589,71 @@
             this.kind = l.kind();
             this.cell = l.cell();
             this.startUs = l.startUs();
-            this.lastHeardUs = nowUs;
         }
 
         private void sent(Try t) {
-            if (out.isEmpty()) {
-                lastHeardUs = nowUs;
-            }
-            ahead.add(nowUs, out.size());
-            sends.add(nowUs, 1);
-            out.put(t, nowUs);
+            lastHeardUs = out.isEmpty() ? nowUs : lastHeardUs;
             lastSentUs = nowUs;
+            ahead.add(nowUs, out.size());
+            out.add(t);
+            work.add(nowUs, t.rq.costUs);
             if (cold()) {
                 coldSends.add(new long[] {nowUs, t.rq.costUs});
                 coldWork += t.rq.costUs;
             }
-            work.add(nowUs, t.rq.costUs);
         }
 
         private void ended(Try t, Ending ending, long tookUs, Load load) {
             out.remove(t);
-            boolean failed = ending != Ending.COMPLETED;
             if (ending == Ending.NOT_SENT || ending == Ending.CANCELLED && !t.cancelled) {
                 return;
             }
-            if (!failed) {
-                lastHeardUs = nowUs;
+            double slow = (double) tookUs / t.rq.costUs;
+            if (ending == Ending.COMPLETED) {
                 silent = false;
-                rate.add(nowUs, 1);
-                slowness.add(nowUs, (double) tookUs / t.rq.costUs);
                 answers.add(nowUs, 1);
-                routeCost[t.rq.routeNo].add(nowUs, t.rq.hinted ? t.rq.costUs : tookUs);
-                routeCount[t.rq.routeNo].add(nowUs, 1);
+                slowness.add(nowUs, slow);
+                cost[t.rq.routeNo].add(nowUs, t.rq.hinted ? t.rq.costUs : tookUs);
                 if (build.number >= newest && charter.rollout().oneWay() && t.rq.key != NO_KEY) {
                     pinned.merge(t.rq.key, build.number, Math::max);
                 }
             } else {
                 failures.add(nowUs, 1);
-                if (ending != Ending.TIMED_OUT && ending != Ending.CANCELLED) {
-                    lastHeardUs = nowUs;
-                }
+            }
+            if (ending != Ending.TIMED_OUT && ending != Ending.CANCELLED) {
+                lastHeardUs = nowUs;
             }
             if (!Double.isNaN(load.waiting())) {
                 waiting = load.waiting();
                 waitingAtUs = nowUs;
             }
-            build.record(this, failed, (double) tookUs / t.rq.costUs,
-                (t.ahead + out.size()) / 2.0 + (charter.relays() - 1) * meanAhead());
+            build.record(this, ending != Ending.COMPLETED, slow,
+                (t.ahead + out.size()) / 2.0 + (charter.relays() - 1) * ahead.mean(nowUs, 0));
         }
 
-        /** Guards against a unit that stands still, has vanished or is cut off: silence, with reqs out. */
+        /**
+         * Guards against a unit that stands still, has vanished or is cut off: silence, with reqs out. What
+         * may run elsewhere is freed, the rest waits out its time. Could harm where single reqs are long.
+         */
         private void lookForSilence() {
-            if (out.isEmpty() || silent) {
+            double usual = slowness.mean(nowUs, usualSlowness(kind)) * meanCost();
+            if (silent || out.isEmpty() || nowUs - lastHeardUs <= SILENT_US + SILENT_TIMES * usual) {
                 return;
             }
-            double usual = answers.read(nowUs) > 0.5
-                ? slowness.read(nowUs) / answers.read(nowUs) * meanCost() : SECOND / 5.0;
-            long limit = SILENT_US + (long) (SILENT_TIMES * usual);
-            if (nowUs - lastHeardUs > limit) {
-                silent = true;
-                // Free what may run elsewhere; the rest waits out its time.
-                for (Try t : new ArrayList<>(out.keySet())) {
-                    if (!t.rq.over && t.rq.route.repeat() != Route.Repeat.NON_RETRIABLE && charter.mayCancel()
-                            && retryTokens >= 1 && !t.cancelled) {
-                        t.cancelled = true;
-                        ReleaseGate.this.out.cancel(t.rq.id, t.number);
-                    }
+            silent = true;
+            for (Try t : out) {
+                if (!t.rq.over && t.rq.route.repeat() != Route.Repeat.NON_RETRIABLE && charter.mayCancel()
+                        && retryTokens >= 1 && !t.cancelled) {
+                    t.cancelled = true;
+                    ReleaseGate.this.out.cancel(t.rq.id, t.number);
                 }
             }
         }
 
+        /** Guards against a unit that is silent or fails much, whatever the cause. */
         private boolean looksBad() {
-            double bad = failures.read(nowUs);
-            double all = bad + answers.read(nowUs);
+            double bad = failures.count(nowUs);
+            double all = bad + slowness.count(nowUs);
             return silent || all >= SICK_FEWEST && bad / all > SICK_ERRORS;
         }
 
@@ -764,55 +661,44 @@
             return startUs > 0 && nowUs - startUs < charter.warmWithinUs();
         }
 
-        /** In flight is bounded by measured rate x time; a cold unit also by what it can surely take. */
+        /** The part of its capacity that a unit of this age surely has. */
+        private double able() {
+            double from = charter.coldFrom();
+            return cold() ? from + (1 - from) * Math.max(0, nowUs - startUs) / charter.warmWithinUs() : 1;
+        }
+
+        /** In flight is bounded by measured rate x time, on trial by the earlier build's time and work too. */
         private boolean hasRoom(Rq rq) {
-            double perUs = rate.read(nowUs) / RATE_MEMORY_US;
-            double bound = (INFLIGHT_FLOOR + perUs * rq.route.objectiveUs() * OBJECTIVE_SHARE) * rq.claim();
-            if (out.size() >= bound) {
+            double perUs = answers.count(nowUs) / RATE_MEMORY_US;
+            double inTime = perUs * rq.route.objectiveUs() * OBJECTIVE_SHARE;
+            if (out.size() >= (INFLIGHT_FLOOR + inTime) * rq.claim()) {
                 return false;
             }
             if (build.onTrial() && !out.isEmpty()
                     && (out.size() >= 1 + perUs * TRIAL_WAIT * usualSlowness(kind) * meanCost()
-                    || workRate() > TRIAL_TIMES * able() * workPerPlace()
-                        * usualSlowness(-1) / usualSlowness(kind))) {
+                    || work.sum(nowUs) / WORK_MEMORY_US
+                        > TRIAL_TIMES * able() * workPerPlace() * usualSlowness(-1) / usualSlowness(kind))) {
                 return false;
             }
             return !cold() || coldRoom(rq);
         }
 
-        /** Own reqs that a new one finds here; other relays are taken to have as many. */
-        private double meanAhead() {
-            return ahead.read(nowUs) / Math.max(0.01, sends.read(nowUs));
-        }
-
-        private double workRate() {
-            return work.read(nowUs) / WORK_MEMORY_US;
-        }
-
-        /** The part of its capacity that a unit of this age surely has. */
-        private double able() {
-            double from = charter.coldFrom();
-            return cold() ? from + (1 - from) * Math.max(0, nowUs - startUs) / charter.warmWithinUs() : 1;
-        }
-
         /**
-         * Rule 4 as a budget over any window: this relay's part of a multiple of what the unit can do at its age,
-         * guessed low, from the work that warm units bear.
+         * Rule 4 as a budget over any window: this relay's part of a multiple of what the unit can do at its
+         * age, guessed low, from the work that one place bears. One req a window always goes.
          */
         private boolean coldRoom(Rq rq) {
             while (!coldSends.isEmpty() && coldSends.peek()[0] < nowUs - charter.coldWindowUs()) {
                 coldWork -= coldSends.poll()[1];
             }
-            if (coldSends.isEmpty()) {
-                return true;
-            }
             double times = Math.min(COLD_TIMES, COLD_PART * charter.coldMultiple());
-            return coldWork + rq.costUs <= times * able() * workPerPlace() * charter.coldWindowUs();
+            return coldSends.isEmpty()
+                || coldWork + rq.costUs <= times * able() * workPerPlace() * charter.coldWindowUs();
         }
 
         private double expectedWait() {
-            double n = answers.read(nowUs);
-            double slow = (slowness.read(nowUs) + usualSlowness(kind)) / (n + 1);
+            double n = slowness.count(nowUs);
+            double slow = (slowness.sum(nowUs) + usualSlowness(kind)) / (n + 1);
             double queue = nowUs - waitingAtUs < SECOND ? waiting : 0;
             return slow * (out.size() + 1 + queue);
         }
@@ -823,7 +709,7 @@
         double sum = 0;
         int places = 1;
         for (Unit u : units.values()) {
-            sum += u.workRate();
+            sum += u.work.sum(nowUs) / WORK_MEMORY_US;
         }
         for (Build b : builds.values()) {
             places = Math.max(places, b.ready.size());
@@ -833,35 +719,33 @@
 
     /** Time per announced work at the units not on trial: of one kind where any has answered, else of all. */
     private double usualSlowness(int kind) {
-        double sum = 0;
-        double n = 0;
-        double kindSum = 0;
-        double kindN = 0;
+        double[] all = new double[2];
+        double[] like = new double[2];
         for (Unit u : units.values()) {
-            if (!u.build.onTrial()) {
-                sum += u.slowness.read(nowUs);
-                n += u.answers.read(nowUs);
-                kindSum += u.kind == kind ? u.slowness.read(nowUs) : 0;
-                kindN += u.kind == kind ? u.answers.read(nowUs) : 0;
+            for (double[] tally : u.kind == kind ? new double[][] {all, like} : new double[][] {all}) {
+                tally[0] += u.build.onTrial() ? 0 : u.slowness.sum(nowUs);
+                tally[1] += u.build.onTrial() ? 0 : u.slowness.count(nowUs);
             }
         }
-        return kindN >= 1 ? kindSum / kindN : n >= 1 ? sum / n : 1.5;
+        return like[1] >= 1 ? like[0] / like[1] : all[1] >= 1 ? all[0] / all[1] : 1.5;
     }
 
     /** Announced work of a req, on average of late. */
     private double meanCost() {
         double sum = 0;
         double n = 0;
-        for (int i = 0; i < routeCost.length; i++) {
-            sum += routeCost[i].read(nowUs);
-            n += routeCount[i].read(nowUs);
+        for (Fading c : cost) {
+            sum += c.sum(nowUs);
+            n += c.count(nowUs);
         }
         return n >= 1 ? sum / n : SECOND / 5.0;
     }
 
-    // ---- The vote ---------------------------------------------------------------------------------------------
+    // ---- The vote -----------------------------------------------------------------------------------------
 
-    /** The ordinary path of a vote: what the outcomes say, what the stage's time allows, and whether to say it. */
+    private enum Finding { NO_VERDICT, PASS, CLOSE, SLOW, ERRORS }
+
+    /** The ordinary path of a vote: what the outcomes say, what the stage's time allows, what to say. */
     private void weigh() {
         Build trial = builds.get(newest);
         if (trial == null || phase == Phase.REVERTING || phase == Phase.WITHDRAWN) {
@@ -886,56 +770,42 @@
             verdict = nowUs < least + PATIENCE_US ? Verdict.HOLD : Verdict.ON;
         }
         boolean clock = charter.rollout().gatekeeping() == Gatekeeping.CLOCK;
-        if (clock && verdict == Verdict.ON || !clock && verdict == Verdict.HOLD) {
-            verdict = Verdict.NONE;
-        }
-        cast(verdict);
+        cast(verdict == (clock ? Verdict.ON : Verdict.HOLD) ? Verdict.NONE : verdict);
     }
 
     private Build earlierThan(int number) {
         Build best = null;
         for (Build b : builds.headMap(number).values()) {
-            if (!withdrawn.contains(b.number) && !b.slices.isEmpty()) {
-                best = b;
-            }
+            best = withdrawn.contains(b.number) || b.slices.isEmpty() ? best : b;
         }
         return best;
     }
 
     /** When the stage's clock began to run, as far as can be told: its machines up, and a little. */
     private long clockFromUs() {
-        long latest = stageFromUs;
+        long upUs = stageFromUs;
         Build trial = builds.get(newest);
-        if (trial == null || trial.ready.isEmpty()) {
-            return stageFromUs + CLOCK_LATEST_US;
-        }
         for (Unit u : trial.ready) {
-            latest = Math.max(latest, u.startUs);
+            upUs = Math.max(upUs, u.startUs);
         }
-        return Math.min(latest, stageFromUs + CLOCK_LATEST_US) + CLOCK_LAG_US;
+        long latestUs = stageFromUs + CLOCK_LATEST_US;
+        return trial.ready.isEmpty() ? latestUs : Math.min(latestUs, upUs) + CLOCK_LAG_US;
     }
 
     private void cast(Verdict verdict) {
-        boolean same = verdict == stands && standsFor == newest;
-        boolean lapsing = verdict != Verdict.NONE
-            && nowUs - castUs > charter.rollout().voteLifeUs() * RENEW_AT;
-        if (same && !lapsing || verdict == Verdict.NONE && stands == Verdict.NONE) {
-            return;
-        }
+        boolean lapsing = nowUs - castUs > charter.rollout().voteLifeUs() * RENEW_AT;
         boolean waiting = answerDue && nowUs - castUs < charter.rollout().voteWaitUs();
-        if (waiting || nowUs < voteNotBeforeUs) {
+        boolean said = verdict == stands && (verdict == Verdict.NONE || !lapsing);
+        if (said || waiting || nowUs < voteNotBeforeUs) {
             return;
         }
         stands = verdict;
-        standsFor = newest;
         castUs = nowUs;
         answerDue = true;
         out.vote(newest, stage, verdict);
         out.say(verdict + " build " + newest + " stage " + stage + ": " + ground);
     }
 
-    private enum Finding { NO_VERDICT, PASS, CLOSE, SLOW, ERRORS }
-
     /**
      * The verdict: 95% intervals, bootstrapped over slices, of the trial's errors and of its percentile, set
      * against the bars.
@@ -943,6 +813,7 @@
     private Finding compare(Build trial, Build earlier) {
         List<Slice> mine = trial.latest(TRIAL_SLICES, nowUs / SLICE_US - TRIAL_SLICES);
         int[] seen = count(mine);
+        ground = seen[0] + " outcomes";
         if (earlier == null || seen[0] < FEWEST) {
             return Finding.NO_VERDICT;
         }
@@ -956,11 +827,10 @@
                 all += times[i] * mine.get(i).outcomes.size();
                 bad += times[i] * mine.get(i).failed;
             }
-            return all == 0 ? 0 : bad / all;
+            return bad / Math.max(1, all);
         });
         boolean enough = mine.size() >= FEWEST_SLICES;
-        ground = String.format("%d outcomes, errors %.3f to %.3f, bar %.3f", seen[0], errors[0], errors[1],
-            errorBar);
+        ground += String.format(", errors %.3f to %.3f, bar %.3f", errors[0], errors[1], errorBar);
         if (errors[0] > errorBar && enough) {
             return Finding.ERRORS;
         }
@@ -991,7 +861,7 @@
         return seen;
     }
 
-    /** The interval of a figure over redrawn slices; it is given how often each slice was drawn. */
+    /** The interval of a figure over redrawn slices; the figure is given how often each slice was drawn. */
     private double[] interval(int slices, ToDoubleFunction<int[]> figure) {
         double[] found = new double[DRAWS];
         for (int d = 0; d < DRAWS; d++) {
@@ -1022,7 +892,7 @@
         return 0;
     }
 
-    /** One outcome, as the verdict needs it: time per announced work, machine kind, reqs in flight, unit's age. */
+    /** One outcome: time per announced work, machine kind, reqs in flight there, the unit's age. */
     private record Outcome(boolean failed, double slowness, int kind, double load, long ageUs) {
     }
 
@@ -1038,9 +908,9 @@
     }
 
     /**
-     * What the earlier build usually needs under like load: by machine kind and by the reqs in flight at the unit.
-     * Where the earlier build never had as many, there is no figure: a trial unit that the cap fills fuller than
-     * any other proves nothing by being slower.
+     * What the earlier build usually needs under like load: by machine kind and reqs in flight at the unit.
+     * Where the earlier build never had as many there is no figure: a trial unit that the cap fills fuller
+     * than any other proves nothing by being slower.
      */
     private final class LikeLoad {
         private static final int ANY_KIND = -1;
@@ -1065,23 +935,24 @@
         private double usual(int kind, Outcome o) {
             double sum = 0;
             double n = 0;
+            int at = step(o);
             double[][] table = usual.getOrDefault(kind, new double[2][LOAD_STEPS]);
-            for (int i = Math.max(0, step(o) - 1); i < LOAD_STEPS && (n < LIKE_FEWEST || i <= step(o) + 1); i++) {
+            for (int i = Math.max(0, at - 1); i < LOAD_STEPS && (n < LIKE_FEWEST || i <= at + 1); i++) {
                 sum += table[0][i];
                 n += table[1][i];
             }
             return n < LIKE_FEWEST ? Double.NaN : sum / n;
         }
 
-        /** Rows {slowness against the usual, slice}, highest first, of what has a like; warm units' only, if so. */
+        /** Rows {slowness against the usual, slice}, highest first, of all that has a like. */
         double[][] against(List<Slice> slices, boolean warmOnly) {
             List<double[]> rows = new ArrayList<>();
+            long warmUs = warmOnly ? Math.max(WARM_UP_US, charter.warmWithinUs()) : 0;
             for (int i = 0; i < slices.size(); i++) {
                 for (Outcome o : slices.get(i).outcomes) {
                     double usual = usual(o.kind, o);
                     usual = Double.isNaN(usual) ? usual(ANY_KIND, o) : usual;
-                    if (!o.failed && !Double.isNaN(usual)
-                            && (!warmOnly || o.ageUs > Math.max(WARM_UP_US, charter.warmWithinUs()))) {
+                    if (!o.failed && !Double.isNaN(usual) && o.ageUs > warmUs) {
                         rows.add(new double[] {o.slowness / usual, i});
                     }
                 }
@@ -1091,26 +962,45 @@
         }
     }
 
-    /** A sum that fades: what was added a memory ago counts 1/e. */
-    private static final class Sum {
+    /** A sum and a count that fade: what was added a memory ago counts 1/e. */
+    private static final class Fading {
         private final double memoryUs;
         private double sum;
+        private double count;
         private long atUs;
 
-        Sum(double memoryUs) {
+        Fading(double memoryUs) {
             this.memoryUs = memoryUs;
         }
 
-        void add(long nowUs, double value) {
-            sum = read(nowUs) + value;
-        }
-
-        double read(long nowUs) {
+        private void fade(long nowUs) {
             if (nowUs > atUs) {
-                sum *= Math.exp((atUs - nowUs) / memoryUs);
+                double left = Math.exp((atUs - nowUs) / memoryUs);
+                sum *= left;
+                count *= left;
                 atUs = nowUs;
             }
+        }
+
+        void add(long nowUs, double value) {
+            fade(nowUs);
+            sum += value;
+            count += 1;
+        }
+
+        double sum(long nowUs) {
+            fade(nowUs);
             return sum;
         }
+
+        double count(long nowUs) {
+            fade(nowUs);
+            return count;
+        }
+
+        double mean(long nowUs, double otherwise) {
+            fade(nowUs);
+            return count >= 0.5 ? sum / count : otherwise;
+        }
     }
 }
--- /dev/null
+++ b/src/test/java/gatelock/ScenariosTest.java
@@ -0,0 +1,299 @@
+package gatelock;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import gatelock.decision.ReleaseGate;
+import gatelock.relay.Charter;
+import gatelock.relay.Ending;
+import gatelock.relay.Gate;
+import gatelock.relay.Handle;
+import gatelock.relay.Listed;
+import gatelock.relay.Load;
+import gatelock.relay.Outlet;
+import gatelock.relay.Rollout;
+import gatelock.relay.Route;
+import gatelock.relay.Verdict;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.DynamicTest;
+import org.junit.jupiter.api.TestFactory;
+
+/** Plays each text scenario of src/test/resources/scenarios on the module alone; NOTATION.md tells how to read one. */
+final class ScenariosTest {
+
+    @TestFactory
+    Stream<DynamicTest> scenarios() throws IOException {
+        try (Stream<Path> files = Files.list(Path.of("src/test/resources/scenarios"))) {
+            return files.filter(f -> f.toString().endsWith(".txt")).sorted().toList().stream()
+                .map(f -> DynamicTest.dynamicTest(f.getFileName().toString(), () -> new Stage().play(f)));
+        }
+    }
+
+    private record Sent(long atUs, String id, String unit, int tryNo) {
+    }
+
+    private record Due(long atUs, long order, Runnable what) {
+    }
+
+    /** One relay, its clock, and all it did. */
+    private static final class Stage implements Outlet {
+        private final Map<String, String> terms = new HashMap<>();
+        private final Map<String, Integer> buildOf = new HashMap<>();
+        private final Map<String, Map<String, String>> manners = new LinkedHashMap<>();
+        private final PriorityQueue<Due> dues = new PriorityQueue<>((a, b) -> a.atUs != b.atUs
+            ? Long.compare(a.atUs, b.atUs) : Long.compare(a.order, b.order));
+        private final Map<String, Handle> reqs = new HashMap<>();
+        private final Map<String, String> answers = new LinkedHashMap<>();
+        private final List<Sent> sends = new ArrayList<>();
+        private final List<long[]> takes = new ArrayList<>();
+        private final List<Verdict> votes = new ArrayList<>();
+        private final List<String> cancels = new ArrayList<>();
+        private int follows;
+        private Gate gate;
+        private long nowUs = 1_000_000_000L;
+        private long startUs = nowUs;
+        private long order;
+        private int flows;
+
+        void play(Path file) throws IOException {
+            int number = 0;
+            for (String line : Files.readAllLines(file)) {
+                number++;
+                String[] words = line.replaceFirst("#.*", "").trim().split("\\s+");
+                if (!words[0].isEmpty()) {
+                    step(words, file.getFileName() + ":" + number + " " + line);
+                }
+            }
+        }
+
+        private void step(String[] w, String where) {
+            Map<String, String> named = new HashMap<>();
+            Arrays.stream(w).filter(x -> x.contains("=")).forEach(x ->
+                named.put(x.substring(0, x.indexOf('=')), x.substring(x.indexOf('=') + 1)));
+            switch (w[0]) {
+                case "charter" -> terms.putAll(named);
+                case "at" -> runTo(startUs + us(w[1]));
+                case "list" -> gate().listed(nowUs, Gate.ListForm.FULL, units(w));
+                case "change" -> gate().listed(nowUs, Gate.ListForm.DELTA, units(w));
+                case "list-failed" -> gate().listed(nowUs, Gate.ListForm.FAILED, List.of());
+                case "news" -> gate().news(nowUs, (int) num(named, "build", 2), (int) num(named, "stage", 0),
+                    Gate.Phase.valueOf(named.getOrDefault("phase", "trial").toUpperCase()),
+                    num(named, "cap", 0.2), us(named.getOrDefault("ago", "0s")), Gate.VoteAnswer.NOT_ASKED);
+                case "answer" -> gate().news(nowUs, 0, 0, Gate.Phase.TRIAL, 0, 0,
+                    Gate.VoteAnswer.valueOf(w[1].toUpperCase()));
+                case "take" -> take(w[1], named);
+                case "end" -> end(w[1], Ending.valueOf(w[2].toUpperCase()), named);
+                case "unit" -> manners.computeIfAbsent(w[1], u -> new HashMap<>()).putAll(named);
+                case "flow" -> flow(named);
+                case "complaint" -> gate().complaint(nowUs, w[1], 0, us(named.getOrDefault("ago", "0s")));
+                case "forget" -> {
+                    sends.clear();
+                    votes.clear();
+                    takes.clear();
+                }
+                case "expect" -> expect(w, named, where);
+                default -> throw new IllegalArgumentException("no such step: " + where);
+            }
+        }
+
+        private void expect(String[] w, Map<String, String> named, String where) {
+            switch (w[1]) {
+                case "sent" -> assertThat(lastSend(w[2])).as(where).isNotNull()
+                    .extracting(Sent::unit).asString().startsWith(w.length > 3 ? w[3] : "");
+                case "tries" -> assertThat(sends.stream().filter(s -> s.id.equals(w[2])).count()).as(where)
+                    .isEqualTo(Long.parseLong(w[3]));
+                case "shed", "error" -> assertThat(answers.get(w[2])).as(where).isEqualTo(w[1]);
+                case "open" -> assertThat(answers.get(w[2])).as(where).isNull();
+                case "answered" -> assertThat(answers.keySet()).as(where).containsAll(reqs.keySet());
+                case "vote" -> assertThat(votes).as(where).contains(Verdict.valueOf(w[2].toUpperCase()));
+                case "no-vote" -> assertThat(votes).as(where).doesNotContain(Verdict.valueOf(w[2].toUpperCase()));
+                case "votes" -> assertThat((double) votes.size()).as(where).isBetween(num(named, "min", 0),
+                    num(named, "max", 1e9));
+                case "cancelled" -> assertThat(cancels).as(where).contains(w[2]);
+                case "follows" -> assertThat((double) follows).as(where).isBetween(num(named, "min", 0),
+                    num(named, "max", 1e9));
+                case "share" -> {
+                    double there = sends.stream().filter(s -> matches(s.unit, w[2])).count();
+                    assertThat(there / Math.max(1, sends.size())).as(where)
+                        .isBetween(num(named, "min", 0), num(named, "max", 1));
+                }
+                case "exposure" -> exposure(named, where);
+                default -> throw new IllegalArgumentException("no such expectation: " + where);
+            }
+        }
+
+        /** In every window, the tries at a build stay within free + cap x reqs taken. */
+        private void exposure(Map<String, String> named, String where) {
+            long window = us(terms.getOrDefault("window", "2s"));
+            List<Sent> there = sends.stream().filter(s -> buildOf.get(s.unit) == (int) num(named, "build", 2)).toList();
+            for (Sent from : there) {
+                long end = from.atUs + window;
+                long tries = there.stream().filter(s -> s.atUs >= from.atUs && s.atUs < end).count();
+                long taken = takes.stream().filter(t -> t[0] >= from.atUs && t[0] < end).count();
+                assertThat((double) tries).as(where)
+                    .isLessThanOrEqualTo(num(terms, "free", 2) + num(named, "cap", 0.2) * taken + 1e-9);
+            }
+        }
+
+        private boolean matches(String unit, String what) {
+            return what.startsWith("build") ? buildOf.get(unit) == Integer.parseInt(what.substring(5))
+                : unit.equals(what);
+        }
+
+        private void flow(Map<String, String> named) {
+            long end = nowUs + us(named.getOrDefault("for", "1s"));
+            long every = us(named.getOrDefault("every", "20ms"));
+            while (nowUs + every <= end) {
+                runTo(nowUs + every);
+                String id = "f" + flows++;
+                take(id, named);
+            }
+        }
+
+        private void take(String id, Map<String, String> named) {
+            takes.add(new long[] {nowUs});
+            reqs.put(id, gate().take(nowUs, id, (int) num(named, "route", 0), (int) num(named, "tenant", 0),
+                (long) num(named, "key", -1), us(named.getOrDefault("left", "4s")), us(named.getOrDefault("cost", "100ms"))));
+        }
+
+        /** A unit with manners answers by itself: after a time, every nth try with an error. */
+        private void later(Sent s) {
+            Map<String, String> m = manners.getOrDefault(s.unit, manners.get("build" + buildOf.get(s.unit)));
+            if (m != null && s.id.startsWith("f") && !m.containsKey("silent")) {
+                int nth = (int) num(m, "fails-each", 0);
+                boolean fails = nth > 0 && sends.stream().filter(x -> x.unit.equals(s.unit)).count() % nth == 0;
+                long took = us(m.getOrDefault("takes", "100ms"));
+                dues.add(new Due(nowUs + took, order++, () -> {
+                    Handle h = reqs.get(s.id);
+                    if (!fails) {
+                        answers.putIfAbsent(s.id, "completed");
+                    }
+                    h.ended(nowUs, s.tryNo, fails ? Ending.ERRORED : Ending.COMPLETED, took, !fails, Load.NONE);
+                }));
+            }
+        }
+
+        private void end(String id, Ending ending, Map<String, String> named) {
+            Sent s = lastSend(id);
+            boolean over = ending == Ending.COMPLETED || answers.containsKey(id);
+            if (over) {
+                answers.putIfAbsent(id, "completed");
+            }
+            reqs.get(id).ended(nowUs, s.tryNo, ending, nowUs - s.atUs, over, Load.NONE);
+        }
+
+        private Sent lastSend(String id) {
+            return sends.stream().filter(s -> s.id.equals(id)).reduce((a, b) -> b).orElse(null);
+        }
+
+        private void runTo(long toUs) {
+            gate();
+            while (!dues.isEmpty() && dues.peek().atUs <= toUs) {
+                Due due = dues.poll();
+                nowUs = due.atUs;
+                due.what.run();
+            }
+            nowUs = toUs;
+        }
+
+        private Gate gate() {
+            if (gate == null) {
+                List<Route> routes = new ArrayList<>();
+                for (String r : terms.getOrDefault("routes", "retriable").split(",")) {
+                    String[] p = r.split(":");
+                    Route.Group group = p.length > 1 ? Route.Group.valueOf(p[1].toUpperCase()) : Route.Group.ALL;
+                    routes.add(new Route(Route.Repeat.valueOf(p[0].toUpperCase().replace('-', '_')), group,
+                        us(terms.getOrDefault("remember", "3s")), 1_000_000, 4_000_000, routes.size() + 1, 0));
+                }
+                double[] caps = Arrays.stream(terms.getOrDefault("caps", "0.2,0.6,1").split(","))
+                    .mapToDouble(Double::parseDouble).toArray();
+                Rollout rollout = new Rollout(Rollout.Gatekeeping.valueOf(terms.getOrDefault("gate", "first_voice")
+                    .toUpperCase()), us(terms.getOrDefault("least", "1s")), 6_000_000, 1_200_000, caps,
+                    (int) num(terms, "guarded", 0), terms.containsKey("per-route"), terms.containsKey("one-way"),
+                    num(terms, "free", 2), 0.5);
+                gate = new ReleaseGate(new Charter(7, (int) num(terms, "relays", 1), 0, 0, routes, List.of(), 1, false,
+                    (int) num(terms, "tries", 4), true, true, 1_000_000, terms.containsKey("must-ask"), 0.34,
+                    us(terms.getOrDefault("warm", "2s")), 2.5, 1_000_000, rollout), this);
+                gate.start(nowUs);
+            }
+            return gate;
+        }
+
+        /** Units as id/build, with @start, !draining or !gone, and #kind where wanted. */
+        private List<Listed> units(String[] w) {
+            List<Listed> found = new ArrayList<>();
+            for (int i = 1; i < w.length; i++) {
+                String[] p = w[i].split("(?=[/@!#%])");
+                Map<Character, String> parts = new HashMap<>();
+                Arrays.stream(p).skip(1).forEach(x -> parts.put(x.charAt(0), x.substring(1)));
+                buildOf.put(p[0], Integer.parseInt(parts.get('/')));
+                found.add(new Listed(p[0], buildOf.get(p[0]), 0, Integer.parseInt(parts.getOrDefault('#', "0")),
+                    Integer.parseInt(parts.getOrDefault('%', "0")),
+                    Listed.Health.valueOf(parts.getOrDefault('!', "ready").toUpperCase()), 1,
+                    parts.containsKey('@') ? startUs + us(parts.get('@')) : 0));
+            }
+            return found;
+        }
+
+        private static double num(Map<String, String> from, String name, double otherwise) {
+            return from.containsKey(name) ? Double.parseDouble(from.get(name)) : otherwise;
+        }
+
+        private static long us(String time) {
+            return time.endsWith("ms") ? Math.round(Double.parseDouble(time.replace("ms", "")) * 1000)
+                : Math.round(Double.parseDouble(time.replace("s", "")) * 1_000_000);
+        }
+
+        @Override
+        public void send(String id, String unit, long timeoutUs) {
+            int tryNo = (int) sends.stream().filter(s -> s.id.equals(id)).count();
+            assertThat(answers.get(id)).as("nothing is sent after the final answer of " + id).isNull();
+            sends.add(new Sent(nowUs, id, unit, tryNo));
+            later(sends.get(sends.size() - 1));
+        }
+
+        @Override
+        public void shed(String id, long pauseUs) {
+            assertThat(answers.put(id, "shed")).as("one final answer for " + id).isNull();
+        }
+
+        @Override
+        public void error(String id) {
+            assertThat(answers.put(id, "error")).as("one final answer for " + id).isNull();
+        }
+
+        @Override
+        public void cancel(String id, int tryNo) {
+            cancels.add(id);
+        }
+
+        @Override
+        public void vote(int build, int stage, Verdict verdict) {
+            votes.add(verdict);
+        }
+
+        @Override
+        public void timer(long inUs, long token) {
+            dues.add(new Due(nowUs + inUs, order++, () -> gate.due(nowUs, token)));
+        }
+
+        @Override
+        public void followList() {
+            follows++;
+        }
+
+        @Override
+        public void say(String line) {
+        }
+    }
+}
