--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -14,6 +14,8 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -539,14 +541,13 @@
         private void record(Unit unit, boolean failed, double slowness, double load) {
             long number = nowUs / SLICE_US;
             if (slices.isEmpty() || slices.peekLast().number != number) {
-                slices.add(new Slice(number));
+                slices.add(new Slice(number, new ArrayList<>()));
                 if (slices.size() > EARLIER_SLICES) {
                     slices.poll();
                 }
             }
             long ageUs = unit.startUs > 0 ? nowUs - unit.startUs : Long.MAX_VALUE;
-            slices.peekLast().outcomes.add(new Outcome(failed, slowness, unit.kind, load, ageUs));
-            slices.peekLast().failed += failed ? 1 : 0;
+            slices.peekLast().outcomes.add(new Outcome(unit, failed, slowness, load, ageUs));
         }
 
         /** Up to so many of the latest slices with outcomes, none before the numbered one. */
@@ -812,6 +813,41 @@
      */
     private Finding compare(Build trial, Build earlier) {
         List<Slice> mine = trial.latest(TRIAL_SLICES, nowUs / SLICE_US - TRIAL_SLICES);
+        Finding found = compare(mine, earlier);
+        Unit odd = found == Finding.SLOW ? worst(mine, Outcome::slowness)
+            : found == Finding.ERRORS ? worst(mine, o -> o.failed ? 1 : 0) : null;
+        if (odd == null || found == Finding.ERRORS && !peerAsOld(odd)) {
+            return found;
+        }
+        // Guards against one sick, slow or ill-placed unit taken for a bad build: without its worst unit the
+        // build must fail all the same. Errors of its oldest unit count alone, as a build may turn bad with age.
+        // Could harm where a build is bad on one kind of machine only.
+        List<Slice> rest = new ArrayList<>();
+        for (Slice s : mine) {
+            rest.add(new Slice(s.number, s.outcomes.stream().filter(o -> o.unit != odd).toList()));
+        }
+        return compare(rest, earlier) == found ? found : Finding.CLOSE;
+    }
+
+    /** The unit whose outcomes have the highest mean of a figure. */
+    private static Unit worst(List<Slice> slices, ToDoubleFunction<Outcome> figure) {
+        Map<Unit, double[]> sums = new LinkedHashMap<>();
+        for (Slice s : slices) {
+            for (Outcome o : s.outcomes) {
+                double[] sum = sums.computeIfAbsent(o.unit, u -> new double[2]);
+                sum[0] += figure.applyAsDouble(o);
+                sum[1] += 1;
+            }
+        }
+        return Collections.max(sums.entrySet(),
+            Comparator.comparingDouble(e -> e.getValue()[0] / e.getValue()[1])).getKey();
+    }
+
+    private static boolean peerAsOld(Unit odd) {
+        return odd.build.ready.stream().anyMatch(u -> u != odd && u.startUs <= odd.startUs + SECOND);
+    }
+
+    private Finding compare(List<Slice> mine, Build earlier) {
         int[] seen = count(mine);
         ground = seen[0] + " outcomes";
         if (earlier == null || seen[0] < FEWEST) {
@@ -825,7 +861,7 @@
             double bad = 0;
             for (int i = 0; i < times.length; i++) {
                 all += times[i] * mine.get(i).outcomes.size();
-                bad += times[i] * mine.get(i).failed;
+                bad += times[i] * mine.get(i).failed();
             }
             return bad / Math.max(1, all);
         });
@@ -856,7 +892,7 @@
         int[] seen = new int[2];
         for (Slice s : slices) {
             seen[0] += s.outcomes.size();
-            seen[1] += s.failed;
+            seen[1] += s.failed();
         }
         return seen;
     }
@@ -892,18 +928,14 @@
         return 0;
     }
 
-    /** One outcome: time per announced work, machine kind, reqs in flight there, the unit's age. */
-    private record Outcome(boolean failed, double slowness, int kind, double load, long ageUs) {
+    /** One outcome: time per announced work, reqs in flight at the unit, the unit's age. */
+    private record Outcome(Unit unit, boolean failed, double slowness, double load, long ageUs) {
     }
 
     /** The outcomes of one second. */
-    private static final class Slice {
-        private final long number;
-        private final List<Outcome> outcomes = new ArrayList<>();
-        private int failed;
-
-        Slice(long number) {
-            this.number = number;
+    private record Slice(long number, List<Outcome> outcomes) {
+        int failed() {
+            return (int) outcomes.stream().filter(Outcome::failed).count();
         }
     }
 
@@ -919,7 +951,7 @@
         LikeLoad(List<Slice> slices) {
             for (Slice s : slices) {
                 for (Outcome o : s.outcomes) {
-                    for (int kind : new int[] {ANY_KIND, o.kind}) {
+                    for (int kind : new int[] {ANY_KIND, o.unit.kind}) {
                         double[][] table = usual.computeIfAbsent(kind, k -> new double[2][LOAD_STEPS]);
                         table[0][step(o)] += o.failed ? 0 : o.slowness;
                         table[1][step(o)] += o.failed ? 0 : 1;
@@ -950,7 +982,7 @@
             long warmUs = warmOnly ? Math.max(WARM_UP_US, charter.warmWithinUs()) : 0;
             for (int i = 0; i < slices.size(); i++) {
                 for (Outcome o : slices.get(i).outcomes) {
-                    double usual = usual(o.kind, o);
+                    double usual = usual(o.unit.kind, o);
                     usual = Double.isNaN(usual) ? usual(ANY_KIND, o) : usual;
                     if (!o.failed && !Double.isNaN(usual) && o.ageUs > warmUs) {
                         rows.add(new double[] {o.slowness / usual, i});
