--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -82,8 +82,8 @@
     private static final double RATE_MEMORY_US = 2.5 * SECOND;
     private static final double WORK_MEMORY_US = 3.0 * SECOND;
     /** In flight at a unit: its measured rate x this share of the route's objective, plus a floor. */
-    private static final double OBJECTIVE_SHARE = 0.6;
-    private static final double INFLIGHT_FLOOR = 4;
+    private static final double OBJECTIVE_SHARE = 0.4;
+    private static final double INFLIGHT_FLOOR = 2;
     /** Of that room, the least valuable reqs may use this much. */
     private static final double ROOM_FOR_LEAST = 0.5;
     /** A unit on trial bears at most this multiple of the work of one place, by its kind's speed. */
