--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -14,7 +14,6 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -204,6 +203,9 @@
             Unit u = units.get(l.unit());
             if (u == null || u.startUs != l.startUs() || u.build.number != l.build()) {
                 // A restarted or re-used id is a new unit: nothing of its past holds.
+                if (!builds.containsKey(l.build())) {
+                    builds.values().forEach(b -> b.before = b.latest(EARLIER_SLICES, 0));
+                }
                 u = new Unit(l, builds.computeIfAbsent(l.build(), Build::new));
                 units.put(l.unit(), u);
             }
@@ -473,6 +475,7 @@
         private final List<Unit> ready = new ArrayList<>();
         private final ArrayDeque<Slice> slices = new ArrayDeque<>();
         private final double[] room;
+        private List<Slice> before = List.of();
 
         Build(int number) {
             this.number = number;
@@ -758,7 +761,7 @@
         boolean sure = fails && nowUs - failsSinceUs >= CONFIRM_US;
         if (phase == Phase.RELEASED) {
             boolean watched = nowUs - stageFromUs < WATCH_US;
-            cast(watched && sure && finding == Finding.ERRORS ? Verdict.BACK : Verdict.NONE);
+            cast(watched && sure ? Verdict.BACK : Verdict.NONE);
             return;
         }
         long least = clockFromUs() + charter.rollout().leastUs();
@@ -813,24 +816,41 @@
      */
     private Finding compare(Build trial, Build earlier) {
         List<Slice> mine = trial.latest(TRIAL_SLICES, nowUs / SLICE_US - TRIAL_SLICES);
-        Finding found = compare(mine, earlier);
-        Unit odd = found == Finding.SLOW ? worst(mine, Outcome::slowness)
-            : found == Finding.ERRORS ? worst(mine, o -> o.failed ? 1 : 0) : null;
-        if (odd == null || found == Finding.ERRORS && !peerAsOld(odd)) {
-            return found;
-        }
-        // Guards against one sick, slow or ill-placed unit taken for a bad build: without its worst unit the
-        // build must fail all the same. Errors of its oldest unit count alone, as a build may turn bad with age.
-        // Could harm where a build is bad on one kind of machine only.
-        List<Slice> rest = new ArrayList<>();
-        for (Slice s : mine) {
-            rest.add(new Slice(s.number, s.outcomes.stream().filter(o -> o.unit != odd).toList()));
-        }
-        return compare(rest, earlier) == found ? found : Finding.CLOSE;
+        if (earlier == null) {
+            return Finding.NO_VERDICT;
+        }
+        List<Slice> theirs = earlier.latest(EARLIER_SLICES, 0);
+        Finding found = compare(mine, theirs);
+        if (found == Finding.SLOW || found == Finding.ERRORS) {
+            Unit odd = worst(mine, found == Finding.SLOW ? Outcome::slowness : o -> o.failed ? 1 : 0).get(0);
+            boolean alone = found == Finding.ERRORS
+                && odd.build.ready.stream().noneMatch(u -> u != odd && u.startUs <= odd.startUs + SECOND);
+            // Guards against one sick, slow or ill-placed unit taken for a bad build: without its worst unit
+            // the build must fail all the same. Errors of its oldest unit count alone, as a build may turn bad
+            // with age. Could harm where a build is bad on one kind of machine only.
+            return alone || compare(without(mine, List.of(odd)), theirs) == found ? found : Finding.CLOSE;
+        }
+        // Guards against a build that slows old and new units alike, which the relative bar hides: all units
+        // are set against what the earlier build needed before the trial, without the worse half of them, as
+        // other troubles spare some. Could harm when something else slows the whole fleet during a trial.
+        List<Slice> all = new ArrayList<>(mine);
+        all.addAll(earlier.latest(TRIAL_SLICES, nowUs / SLICE_US - TRIAL_SLICES));
+        List<Unit> units = worst(all, Outcome::slowness);
+        String said = ground;
+        if (compare(without(all, units.subList(0, units.size() / 2)), earlier.before) == Finding.SLOW) {
+            return Finding.SLOW;
+        }
+        ground = said;
+        return found;
     }
 
-    /** The unit whose outcomes have the highest mean of a figure. */
-    private static Unit worst(List<Slice> slices, ToDoubleFunction<Outcome> figure) {
+    private static List<Slice> without(List<Slice> slices, List<Unit> units) {
+        return slices.stream().map(s -> new Slice(s.number,
+            s.outcomes.stream().filter(o -> !units.contains(o.unit)).toList())).toList();
+    }
+
+    /** The units with outcomes, those first whose outcomes have the highest mean of a figure. */
+    private static List<Unit> worst(List<Slice> slices, ToDoubleFunction<Outcome> figure) {
         Map<Unit, double[]> sums = new LinkedHashMap<>();
         for (Slice s : slices) {
             for (Outcome o : s.outcomes) {
@@ -839,21 +859,17 @@
                 sum[1] += 1;
             }
         }
-        return Collections.max(sums.entrySet(),
-            Comparator.comparingDouble(e -> e.getValue()[0] / e.getValue()[1])).getKey();
+        List<Unit> found = new ArrayList<>(sums.keySet());
+        found.sort(Comparator.comparingDouble(u -> -sums.get(u)[0] / sums.get(u)[1]));
+        return found;
     }
 
-    private static boolean peerAsOld(Unit odd) {
-        return odd.build.ready.stream().anyMatch(u -> u != odd && u.startUs <= odd.startUs + SECOND);
-    }
-
-    private Finding compare(List<Slice> mine, Build earlier) {
+    private Finding compare(List<Slice> mine, List<Slice> theirs) {
         int[] seen = count(mine);
         ground = seen[0] + " outcomes";
-        if (earlier == null || seen[0] < FEWEST) {
+        if (seen[0] < FEWEST) {
             return Finding.NO_VERDICT;
         }
-        List<Slice> theirs = earlier.latest(EARLIER_SLICES, 0);
         int[] seenThere = count(theirs);
         double errorBar = Math.max(ERROR_BAR, MARGIN * seenThere[1] / Math.max(1, seenThere[0]));
         double[] errors = interval(mine.size(), times -> {
