--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -63,7 +63,8 @@
     /** A confident fail needs this many slices: two can't show a spread. */
     private static final int FEWEST_SLICES = 3;
     /** A confident fail must last this long before it votes back: one look in many fails by chance. */
-    private static final long CONFIRM_US = 3 * SECOND / 2;
+    private static final long CONFIRM_ERRORS_US = 3 * SECOND / 2;
+    private static final long CONFIRM_SLOW_US = 3 * SECOND;
     /** Like load: steps of one req in flight, and how many earlier outcomes make a figure. */
     private static final int LOAD_STEPS = 24;
     private static final int LIKE_FEWEST = 10;
@@ -758,7 +759,8 @@
         Finding finding = compare(trial, earlierThan(newest));
         boolean fails = finding == Finding.ERRORS || finding == Finding.SLOW;
         failsSinceUs = fails ? Math.min(failsSinceUs, nowUs) : Long.MAX_VALUE;
-        boolean sure = fails && nowUs - failsSinceUs >= CONFIRM_US;
+        boolean sure = fails && nowUs - failsSinceUs
+            >= (finding == Finding.ERRORS ? CONFIRM_ERRORS_US : CONFIRM_SLOW_US);
         if (phase == Phase.RELEASED) {
             boolean watched = nowUs - stageFromUs < WATCH_US;
             cast(watched && sure ? Verdict.BACK : Verdict.NONE);
