--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -45,8 +45,9 @@
     /** Page: outcomes go in slices of this length; fewer trial outcomes than this give no verdict. */
     private static final long SLICE_US = SECOND;
     private static final int FEWEST = 20;
-    /** Page: the percentile. Ours: the margin, 1.5 for 1.25, as units of one kind differ by a fifth. */
+    /** Page: the percentile and the margin. Ours: 1.5 between builds, as units of one kind differ by a fifth. */
     private static final double PERCENTILE = 0.9;
+    private static final double FLEET_MARGIN = 1.25;
     private static final double MARGIN = 1.5;
     /** Page: the bar on errors. */
     private static final double ERROR_BAR = 0.02;
@@ -822,7 +823,7 @@
             return Finding.NO_VERDICT;
         }
         List<Slice> theirs = earlier.latest(EARLIER_SLICES, 0);
-        Finding found = compare(mine, theirs);
+        Finding found = compare(mine, theirs, MARGIN);
         if (found == Finding.SLOW || found == Finding.ERRORS) {
             Unit odd = worst(mine, found == Finding.SLOW ? Outcome::slowness : o -> o.failed ? 1 : 0).get(0);
             boolean alone = found == Finding.ERRORS
@@ -830,7 +831,7 @@
             // Guards against one sick, slow or ill-placed unit taken for a bad build: without its worst unit
             // the build must fail all the same. Errors of its oldest unit count alone, as a build may turn bad
             // with age. Could harm where a build is bad on one kind of machine only.
-            return alone || compare(without(mine, List.of(odd)), theirs) == found ? found : Finding.CLOSE;
+            return alone || compare(without(mine, List.of(odd)), theirs, MARGIN) == found ? found : Finding.CLOSE;
         }
         // Guards against a build that slows old and new units alike, which the relative bar hides: all units
         // are set against what the earlier build needed before the trial, without the worse half of them, as
@@ -839,7 +840,8 @@
         all.addAll(earlier.latest(TRIAL_SLICES, nowUs / SLICE_US - TRIAL_SLICES));
         List<Unit> units = worst(all, Outcome::slowness);
         String said = ground;
-        if (compare(without(all, units.subList(0, units.size() / 2)), earlier.before) == Finding.SLOW) {
+        List<Slice> best = without(all, units.subList(0, units.size() / 2));
+        if (compare(best, earlier.before, FLEET_MARGIN) == Finding.SLOW) {
             return Finding.SLOW;
         }
         ground = said;
@@ -866,7 +868,7 @@
         return found;
     }
 
-    private Finding compare(List<Slice> mine, List<Slice> theirs) {
+    private Finding compare(List<Slice> mine, List<Slice> theirs, double margin) {
         int[] seen = count(mine);
         ground = seen[0] + " outcomes";
         if (seen[0] < FEWEST) {
@@ -896,7 +898,7 @@
         }
         int[] once = new int[theirs.size()];
         Arrays.fill(once, 1);
-        double bar = MARGIN * percentile(there, once);
+        double bar = margin * percentile(there, once);
         double[] slow = interval(mine.size(), times -> percentile(here, times));
         ground += String.format(", slowness %.2f to %.2f, bar %.2f", slow[0], slow[1], bar);
         if (slow[0] > bar && enough) {
