--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -36,7 +36,7 @@
  */
 public final class ReleaseGate implements Gate {
 
-    // ---- Tuned values ---------------------------------------------------------------------------------
+    // ---- Tuned values ----
     private static final long SECOND = 1_000_000;
     /** Housekeeping: silence is looked for and the verdict is drawn this often. */
     private static final long BEAT_US = SECOND / 4;
@@ -45,7 +45,7 @@
     /** Page: outcomes go in slices of this length; fewer trial outcomes than this give no verdict. */
     private static final long SLICE_US = SECOND;
     private static final int FEWEST = 20;
-    /** Page: the percentile and the margin. Ours: 1.5 between builds, as units of one kind differ by a fifth. */
+    /** Page: the percentile, the margin. Ours: 1.5 between builds, as units of one kind differ by a fifth. */
     private static final double PERCENTILE = 0.9;
     private static final double FLEET_MARGIN = 1.25;
     private static final double MARGIN = 1.5;
@@ -111,7 +111,6 @@
     private static final long SHED_PAUSE_US = 500_000;
     private static final long ASK_AGAIN_US = 300_000;
     private static final long ASK_SLOWEST_US = 4 * SECOND;
-    // ---------------------------------------------------------------------------------------------------
 
     private static final long BEAT = 0;
     private static final long ASK_LIST = 1;
@@ -152,7 +151,7 @@
         this.charter = charter;
         this.out = out;
         this.chance = new SplittableRandom(charter.seed());
-        this.cost = new Fading[charter.routes().size()];
+        this.cost = new Fading[charter.routes().size() + 1];
         this.tenantRate = new Fading[charter.tenants().size()];
         Arrays.setAll(cost, i -> new Fading(20.0 * SECOND));
         Arrays.setAll(tenantRate, i -> new Fading(RATE_MEMORY_US));
@@ -203,7 +202,7 @@
         }
         for (Listed l : entries) {
             Unit u = units.get(l.unit());
-            if (u == null || u.startUs != l.startUs() || u.build.number != l.build()) {
+            if (u == null || u.at.startUs() != l.startUs() || u.build.number != l.build()) {
                 // A restarted or re-used id is a new unit: nothing of its past holds.
                 if (!builds.containsKey(l.build())) {
                     builds.values().forEach(b -> b.before = b.latest(EARLIER_SLICES, 0));
@@ -255,7 +254,7 @@
     public void complaint(long nowUs, String unit, int route, long agoUs) {
         this.nowUs = nowUs;
         Unit u = units.get(unit);
-        if (u != null && nowUs - agoUs >= u.startUs) {
+        if (u != null && nowUs - agoUs >= u.at.startUs()) {
             // A wrong answer is an error of the build; it looked like any other when it came.
             u.build.record(u, true, 0, 0);
         }
@@ -309,25 +308,12 @@
         /** The ordinary path, for a first try and for any further one. */
         private void place() {
             boolean first = tries.isEmpty();
-            Unit unit = null;
             // 1. First sends fill the cap of the build on trial.
-            for (Build b : builds.descendingMap().values()) {
-                if (unit == null && first && b.onTrial() && b.mayTake(this)) {
-                    unit = b.pick(this);
-                }
-            }
+            Unit unit = first ? choose(true) : null;
             // 2. The rest goes to the released build, and what it has no room for to those before it.
-            for (Build b : builds.descendingMap().values()) {
-                if (unit == null && !b.onTrial() && !withdrawn.contains(b.number) && b.keyAllows(this)) {
-                    unit = b.pick(this);
-                }
-            }
+            unit = unit != null ? unit : choose(false);
             // 3. A further try goes to the trial only if nowhere else: first sends have the cap.
-            for (Build b : builds.descendingMap().values()) {
-                if (unit == null && !first && b.onTrial() && b.mayTake(this)) {
-                    unit = b.pick(this);
-                }
-            }
+            unit = unit != null || first ? unit : choose(true);
             if (unit == null || nowUs >= endUs) {
                 turnAway();
                 return;
@@ -335,11 +321,21 @@
             if (unit.build.onTrial()) {
                 unit.build.spend(routeNo);
             }
-            Try t = new Try(this, tries.size(), unit, nowUs, unit.out.size());
+            Try t = new Try(unit);
             tries.add(t);
             outNow++;
             unit.sent(t);
-            out.send(id, unit.id, 0);
+            out.send(id, unit.at.unit(), 0);
+        }
+
+        private Unit choose(boolean trial) {
+            Unit unit = null;
+            for (Build b : builds.descendingMap().values()) {
+                if (unit == null && b.onTrial() == trial && b.mayTake(this)) {
+                    unit = b.pick(this);
+                }
+            }
+            return unit;
         }
 
         /** Whether every try so far is proven not to have run. */
@@ -358,8 +354,8 @@
             return tries.stream().allMatch(t -> t.neverRan()
                 || nowUs - t.sentUs < route.rememberUs() * 8 / 10 && switch (route.group()) {
                     case ALL -> true;
-                    case ZONE -> t.unit.zone == unit.zone;
-                    case CELL -> t.unit.cell == unit.cell;
+                    case ZONE -> t.unit.at.zone() == unit.at.zone();
+                    case CELL -> t.unit.at.cell() == unit.at.cell();
                 });
         }
 
@@ -444,28 +440,25 @@
             }
             return ROOM_FOR_LEAST + (1 - ROOM_FOR_LEAST) * value;
         }
-    }
 
-    /** One upstream try. */
-    private static final class Try {
-        private final Rq rq;
-        private final int number;
-        private final Unit unit;
-        private final long sentUs;
-        private final int ahead;
-        private Ending ending;
-        private boolean cancelled;
-
-        Try(Rq rq, int number, Unit unit, long sentUs, int ahead) {
-            this.rq = rq;
-            this.number = number;
-            this.unit = unit;
-            this.sentUs = sentUs;
-            this.ahead = ahead;
-        }
+        /** One upstream try. */
+        private final class Try {
+            private final Rq rq = Rq.this;
+            private final int number = tries.size();
+            private final long sentUs = nowUs;
+            private final Unit unit;
+            private final int ahead;
+            private Ending ending;
+            private boolean cancelled;
 
-        private boolean neverRan() {
-            return ending != null && ending.neverRan;
+            Try(Unit unit) {
+                this.unit = unit;
+                this.ahead = unit.out.size();
+            }
+
+            private boolean neverRan() {
+                return ending != null && ending.neverRan;
+            }
         }
     }
 
@@ -508,6 +501,9 @@
         }
 
         private boolean mayTake(Rq rq) {
+            if (!onTrial()) {
+                return !withdrawn.contains(number) && keyAllows(rq);
+            }
             int stageNow = number == newest ? stage : 0;
             return capNow() > 0 && room[Math.min(rq.routeNo, room.length - 1)] >= 1 && keyAllows(rq)
                 && (stageNow >= charter.rollout().guardedStages()
@@ -551,7 +547,7 @@
                     slices.poll();
                 }
             }
-            long ageUs = unit.startUs > 0 ? nowUs - unit.startUs : Long.MAX_VALUE;
+            long ageUs = unit.at.startUs() > 0 ? nowUs - unit.at.startUs() : Long.MAX_VALUE;
             slices.peekLast().outcomes.add(new Outcome(unit, failed, slowness, load, ageUs));
         }
 
@@ -567,13 +563,9 @@
 
     /** One start of one unit. */
     private final class Unit {
-        private final String id;
+        private final Listed at;
         private final Build build;
-        private final int zone;
-        private final int kind;
-        private final int cell;
-        private final long startUs;
-        private final Set<Try> out = new LinkedHashSet<>();
+        private final Set<Rq.Try> out = new LinkedHashSet<>();
         private final Fading slowness = new Fading(SPEED_MEMORY_US);
         private final Fading failures = new Fading(SPEED_MEMORY_US);
         private final Fading answers = new Fading(RATE_MEMORY_US);
@@ -589,15 +581,11 @@
         private long waitingAtUs = Long.MIN_VALUE / 2;
 
         Unit(Listed l, Build build) {
-            this.id = l.unit();
+            this.at = l;
             this.build = build;
-            this.zone = l.zone();
-            this.kind = l.kind();
-            this.cell = l.cell();
-            this.startUs = l.startUs();
         }
 
-        private void sent(Try t) {
+        private void sent(Rq.Try t) {
             lastHeardUs = out.isEmpty() ? nowUs : lastHeardUs;
             lastSentUs = nowUs;
             ahead.add(nowUs, out.size());
@@ -609,7 +597,7 @@
             }
         }
 
-        private void ended(Try t, Ending ending, long tookUs, Load load) {
+        private void ended(Rq.Try t, Ending ending, long tookUs, Load load) {
             out.remove(t);
             if (ending == Ending.NOT_SENT || ending == Ending.CANCELLED && !t.cancelled) {
                 return;
@@ -619,7 +607,9 @@
                 silent = false;
                 answers.add(nowUs, 1);
                 slowness.add(nowUs, slow);
-                cost[t.rq.routeNo].add(nowUs, t.rq.hinted ? t.rq.costUs : tookUs);
+                for (int i : new int[] {t.rq.routeNo, cost.length - 1}) {
+                    cost[i].add(nowUs, t.rq.hinted ? t.rq.costUs : tookUs);
+                }
                 if (build.number >= newest && charter.rollout().oneWay() && t.rq.key != NO_KEY) {
                     pinned.merge(t.rq.key, build.number, Math::max);
                 }
@@ -642,12 +632,12 @@
          * may run elsewhere is freed, the rest waits out its time. Could harm where single reqs are long.
          */
         private void lookForSilence() {
-            double usual = slowness.mean(nowUs, usualSlowness(kind)) * meanCost();
+            double usual = slowness.mean(nowUs, usualSlowness(at.kind())) * meanCost();
             if (silent || out.isEmpty() || nowUs - lastHeardUs <= SILENT_US + SILENT_TIMES * usual) {
                 return;
             }
             silent = true;
-            for (Try t : out) {
+            for (Rq.Try t : out) {
                 if (!t.rq.over && t.rq.route.repeat() != Route.Repeat.NON_RETRIABLE && charter.mayCancel()
                         && retryTokens >= 1 && !t.cancelled) {
                     t.cancelled = true;
@@ -664,27 +654,30 @@
         }
 
         private boolean cold() {
-            return startUs > 0 && nowUs - startUs < charter.warmWithinUs();
+            return at.startUs() > 0 && nowUs - at.startUs() < charter.warmWithinUs();
         }
 
         /** The part of its capacity that a unit of this age surely has. */
         private double able() {
             double from = charter.coldFrom();
-            return cold() ? from + (1 - from) * Math.max(0, nowUs - startUs) / charter.warmWithinUs() : 1;
+            double warm = cold() ? Math.max(0.0, nowUs - at.startUs()) / charter.warmWithinUs() : 1;
+            return from + (1 - from) * warm;
         }
 
-        /** In flight is bounded by measured rate x time, on trial by the earlier build's time and work too. */
+        /** In flight bounded by measured rate x time; on trial by the earlier build's time and work too. */
         private boolean hasRoom(Rq rq) {
             double perUs = answers.count(nowUs) / RATE_MEMORY_US;
             double inTime = perUs * rq.route.objectiveUs() * OBJECTIVE_SHARE;
             if (out.size() >= (INFLIGHT_FLOOR + inTime) * rq.claim()) {
                 return false;
             }
-            if (build.onTrial() && !out.isEmpty()
-                    && (out.size() >= 1 + perUs * TRIAL_WAIT * usualSlowness(kind) * meanCost()
-                    || work.sum(nowUs) / WORK_MEMORY_US
-                        > TRIAL_TIMES * able() * workPerPlace() * usualSlowness(-1) / usualSlowness(kind))) {
-                return false;
+            if (build.onTrial() && !out.isEmpty()) {
+                double usual = usualSlowness(at.kind());
+                double most = TRIAL_TIMES * able() * workPerPlace() * usualSlowness(-1) / usual;
+                if (out.size() >= 1 + perUs * TRIAL_WAIT * usual * meanCost()
+                        || work.sum(nowUs) / WORK_MEMORY_US > most) {
+                    return false;
+                }
             }
             return !cold() || coldRoom(rq);
         }
@@ -704,7 +697,7 @@
 
         private double expectedWait() {
             double n = slowness.count(nowUs);
-            double slow = (slowness.sum(nowUs) + usualSlowness(kind)) / (n + 1);
+            double slow = (slowness.sum(nowUs) + usualSlowness(at.kind())) / (n + 1);
             double queue = nowUs - waitingAtUs < SECOND ? waiting : 0;
             return slow * (out.size() + 1 + queue);
         }
@@ -725,26 +718,19 @@
 
     /** Time per announced work at the units not on trial: of one kind where any has answered, else of all. */
     private double usualSlowness(int kind) {
-        double[] all = new double[2];
-        double[] like = new double[2];
+        double[] sums = new double[4];
         for (Unit u : units.values()) {
-            for (double[] tally : u.kind == kind ? new double[][] {all, like} : new double[][] {all}) {
-                tally[0] += u.build.onTrial() ? 0 : u.slowness.sum(nowUs);
-                tally[1] += u.build.onTrial() ? 0 : u.slowness.count(nowUs);
+            for (int i = u.at.kind() == kind ? 0 : 2; i < 4 && !u.build.onTrial(); i += 2) {
+                sums[i] += u.slowness.sum(nowUs);
+                sums[i + 1] += u.slowness.count(nowUs);
             }
         }
-        return like[1] >= 1 ? like[0] / like[1] : all[1] >= 1 ? all[0] / all[1] : 1.5;
+        return sums[1] >= 1 ? sums[0] / sums[1] : sums[3] >= 1 ? sums[2] / sums[3] : 1.5;
     }
 
     /** Announced work of a req, on average of late. */
     private double meanCost() {
-        double sum = 0;
-        double n = 0;
-        for (Fading c : cost) {
-            sum += c.sum(nowUs);
-            n += c.count(nowUs);
-        }
-        return n >= 1 ? sum / n : SECOND / 5.0;
+        return cost[cost.length - 1].mean(nowUs, SECOND / 5.0);
     }
 
     // ---- The vote -----------------------------------------------------------------------------------------
@@ -793,7 +779,7 @@
         long upUs = stageFromUs;
         Build trial = builds.get(newest);
         for (Unit u : trial.ready) {
-            upUs = Math.max(upUs, u.startUs);
+            upUs = Math.max(upUs, u.at.startUs());
         }
         long latestUs = stageFromUs + CLOCK_LATEST_US;
         return trial.ready.isEmpty() ? latestUs : Math.min(latestUs, upUs) + CLOCK_LAG_US;
@@ -825,13 +811,15 @@
         List<Slice> theirs = earlier.latest(EARLIER_SLICES, 0);
         Finding found = compare(mine, theirs, MARGIN);
         if (found == Finding.SLOW || found == Finding.ERRORS) {
+            // Guards against one sick, slow or ill-placed unit taken for a bad build: without its worst unit
+            // the build must fail all the same. Errors of its oldest unit count alone, as a build may turn
+            // bad with age. Could harm where a build is bad on one kind of machine only.
             Unit odd = worst(mine, found == Finding.SLOW ? Outcome::slowness : o -> o.failed ? 1 : 0).get(0);
+            long asOldUs = odd.at.startUs() + SECOND;
             boolean alone = found == Finding.ERRORS
-                && odd.build.ready.stream().noneMatch(u -> u != odd && u.startUs <= odd.startUs + SECOND);
-            // Guards against one sick, slow or ill-placed unit taken for a bad build: without its worst unit
-            // the build must fail all the same. Errors of its oldest unit count alone, as a build may turn bad
-            // with age. Could harm where a build is bad on one kind of machine only.
-            return alone || compare(without(mine, List.of(odd)), theirs, MARGIN) == found ? found : Finding.CLOSE;
+                && odd.build.ready.stream().noneMatch(u -> u != odd && u.at.startUs() <= asOldUs);
+            boolean rest = alone || compare(without(mine, List.of(odd)), theirs, MARGIN) == found;
+            return rest ? found : Finding.CLOSE;
         }
         // Guards against a build that slows old and new units alike, which the relative bar hides: all units
         // are set against what the earlier build needed before the trial, without the worse half of them, as
@@ -869,22 +857,15 @@
     }
 
     private Finding compare(List<Slice> mine, List<Slice> theirs, double margin) {
-        int[] seen = count(mine);
-        ground = seen[0] + " outcomes";
-        if (seen[0] < FEWEST) {
+        int seen = mine.stream().mapToInt(s -> s.outcomes.size()).sum();
+        ground = seen + " outcomes";
+        if (seen < FEWEST) {
             return Finding.NO_VERDICT;
         }
-        int[] seenThere = count(theirs);
-        double errorBar = Math.max(ERROR_BAR, MARGIN * seenThere[1] / Math.max(1, seenThere[0]));
-        double[] errors = interval(mine.size(), times -> {
-            double all = 0;
-            double bad = 0;
-            for (int i = 0; i < times.length; i++) {
-                all += times[i] * mine.get(i).outcomes.size();
-                bad += times[i] * mine.get(i).failed();
-            }
-            return bad / Math.max(1, all);
-        });
+        int[] once = new int[theirs.size()];
+        Arrays.fill(once, 1);
+        double errorBar = Math.max(ERROR_BAR, MARGIN * errors(theirs, once));
+        double[] errors = interval(mine.size(), times -> errors(mine, times));
         boolean enough = mine.size() >= FEWEST_SLICES;
         ground += String.format(", errors %.3f to %.3f, bar %.3f", errors[0], errors[1], errorBar);
         if (errors[0] > errorBar && enough) {
@@ -896,8 +877,6 @@
         if (here.length < FEWEST || there.length == 0) {
             return Finding.NO_VERDICT;
         }
-        int[] once = new int[theirs.size()];
-        Arrays.fill(once, 1);
         double bar = margin * percentile(there, once);
         double[] slow = interval(mine.size(), times -> percentile(here, times));
         ground += String.format(", slowness %.2f to %.2f, bar %.2f", slow[0], slow[1], bar);
@@ -907,16 +886,6 @@
         return errors[1] < errorBar && slow[1] < bar ? Finding.PASS : Finding.CLOSE;
     }
 
-    /** Outcomes in these slices, and failed ones. */
-    private static int[] count(List<Slice> slices) {
-        int[] seen = new int[2];
-        for (Slice s : slices) {
-            seen[0] += s.outcomes.size();
-            seen[1] += s.failed();
-        }
-        return seen;
-    }
-
     /** The interval of a figure over redrawn slices; the figure is given how often each slice was drawn. */
     private double[] interval(int slices, ToDoubleFunction<int[]> figure) {
         double[] found = new double[DRAWS];
@@ -932,6 +901,17 @@
         return new double[] {found[cut], found[DRAWS - 1 - cut]};
     }
 
+    /** The share of errors, each slice counted so many times. */
+    private static double errors(List<Slice> slices, int[] times) {
+        double all = 0;
+        double bad = 0;
+        for (int i = 0; i < times.length; i++) {
+            all += times[i] * slices.get(i).outcomes.size();
+            bad += times[i] * slices.get(i).outcomes.stream().filter(Outcome::failed).count();
+        }
+        return bad / Math.max(1, all);
+    }
+
     /** The percentile of rows {value, slice}, highest first, each counted as often as its slice. */
     private static double percentile(double[][] rows, int[] times) {
         double all = 0;
@@ -954,9 +934,6 @@
 
     /** The outcomes of one second. */
     private record Slice(long number, List<Outcome> outcomes) {
-        int failed() {
-            return (int) outcomes.stream().filter(Outcome::failed).count();
-        }
     }
 
     /**
@@ -971,7 +948,7 @@
         LikeLoad(List<Slice> slices) {
             for (Slice s : slices) {
                 for (Outcome o : s.outcomes) {
-                    for (int kind : new int[] {ANY_KIND, o.unit.kind}) {
+                    for (int kind : new int[] {ANY_KIND, o.unit.at.kind()}) {
                         double[][] table = usual.computeIfAbsent(kind, k -> new double[2][LOAD_STEPS]);
                         table[0][step(o)] += o.failed ? 0 : o.slowness;
                         table[1][step(o)] += o.failed ? 0 : 1;
@@ -1002,7 +979,7 @@
             long warmUs = warmOnly ? Math.max(WARM_UP_US, charter.warmWithinUs()) : 0;
             for (int i = 0; i < slices.size(); i++) {
                 for (Outcome o : slices.get(i).outcomes) {
-                    double usual = usual(o.unit.kind, o);
+                    double usual = usual(o.unit.at.kind(), o);
                     usual = Double.isNaN(usual) ? usual(ANY_KIND, o) : usual;
                     if (!o.failed && !Double.isNaN(usual) && o.ageUs > warmUs) {
                         rows.add(new double[] {o.slowness / usual, i});
