Bad units are judged against the whole fleet, not their build

Cause: after a release with the list far behind, all earlier units looked bad at once, so none was dropped and reqs kept hitting them.

--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -96,8 +96,8 @@
     private static final double SICK_FEWEST = 4;
     /** A unit out of use is tried with one req this often. */
     private static final long RETRY_UNIT_US = SECOND;
-    /** If more than this share of a build's units look bad, the units are not the cause. */
-    private static final double MOST = 0.5;
+    /** If more than this share of all units look bad, the units are not the cause. */
+    private static final double MOST = 0.6;
     /** Cold units: this part of the rule's multiple, never more than so many times what they can do. */
     private static final double COLD_PART = 0.8;
     private static final double COLD_TIMES = 1.5;
@@ -515,7 +515,7 @@
 
         /** Two random choices among the units with room, the one with the shorter expected wait. */
         private Unit pick(Rq rq) {
-            boolean someBad = ready.stream().filter(Unit::looksBad).count() <= MOST * ready.size();
+            boolean someBad = badShare() <= MOST;
             List<Unit> open = new ArrayList<>(ready.size());
             for (Unit u : ready) {
                 if (!u.hasRoom(rq) || !rq.mayRepeatAt(u) || rq.tries.stream().anyMatch(t -> t.unit == u)) {
@@ -700,6 +700,17 @@
         }
     }
 
+    /** The share of units that look bad, over all builds: after a release the earlier ones go all at once. */
+    private double badShare() {
+        int all = 0;
+        int bad = 0;
+        for (Build b : builds.values()) {
+            all += b.ready.size();
+            bad += (int) b.ready.stream().filter(Unit::looksBad).count();
+        }
+        return (double) bad / Math.max(1, all);
+    }
+
     /** Work this relay has for one of the fleet's places, in microseconds of work per microsecond. */
     private double workPerPlace() {
         double sum = 0;
