--- a/src/main/java/gatelock/bench/Wirehost.java
+++ b/src/main/java/gatelock/bench/Wirehost.java
@@ -244,22 +244,14 @@
                 int route = (int) f.number("service");
                 relay.gate.complaint(nowUs, unit, route, f.number("behindNs") / 1000);
             }
-            case "ABANDONED" -> {
+            case "ABANDONED", "HEAD_RECEIVED" -> {
                 String id = f.text("msgId");
                 Handle handle = relay.handle(id);
                 if (handle != null) {
-                    handle.abandoned(nowUs);
+                    handle.concluded(nowUs);
                     relay.forgetIfSettled(id, handle);
                 }
             }
-            case "HEAD_RECEIVED" -> {
-                Handle handle = relay.handle(f.text("msgId"));
-                f.text("unit");
-                f.number("durationNs");
-                if (handle != null) {
-                    handle.headCame(nowUs, (int) f.number("hop"));
-                }
-            }
             case "SCORECARD", "MAIL", "CHECKED" -> { }
             default -> throw new MalformedLine("expected an event, found " + f.name());
         }
--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -409,13 +409,7 @@
         }
 
         @Override
-        public void headCame(long now, int tryNo) {
-            nowUs = now;
-            finish();
-        }
-
-        @Override
-        public void abandoned(long now) {
+        public void concluded(long now) {
             nowUs = now;
             finish();
         }
@@ -702,26 +696,15 @@
 
     /** The share of units that look bad, over all builds: after a release the earlier ones go all at once. */
     private double badShare() {
-        int all = 0;
-        int bad = 0;
-        for (Build b : builds.values()) {
-            all += b.ready.size();
-            bad += (int) b.ready.stream().filter(Unit::looksBad).count();
-        }
-        return (double) bad / Math.max(1, all);
+        List<Unit> ready = builds.values().stream().flatMap(b -> b.ready.stream()).toList();
+        return (double) ready.stream().filter(Unit::looksBad).count() / Math.max(1, ready.size());
     }
 
     /** Work this relay has for one of the fleet's places, in microseconds of work per microsecond. */
     private double workPerPlace() {
-        double sum = 0;
-        int places = 1;
-        for (Unit u : units.values()) {
-            sum += u.work.sum(nowUs) / RATE_MEMORY_US;
-        }
-        for (Build b : builds.values()) {
-            places = Math.max(places, b.ready.size());
-        }
-        return sum / places;
+        double sum = units.values().stream().mapToDouble(u -> u.work.sum(nowUs)).sum();
+        int places = builds.values().stream().mapToInt(b -> b.ready.size()).max().orElse(0);
+        return sum / RATE_MEMORY_US / Math.max(1, places);
     }
 
     /** Time per announced work at the units not on trial: of one kind where any has answered, else of all. */
--- a/src/main/java/gatelock/relay/Handle.java
+++ b/src/main/java/gatelock/relay/Handle.java
@@ -11,11 +11,8 @@
      */
     void ended(long nowUs, int tryNo, Ending ending, long tookUs, boolean over, Load load);
 
-    /** The answer's head has come: the try now belongs to the client. */
-    void headCame(long nowUs, int tryNo);
-
-    /** The client has left; nothing more is owed. */
-    void abandoned(long nowUs);
+    /** The relay owes no answer any more: the client has left, or the answer's head came and a stream runs. */
+    void concluded(long nowUs);
 
     /** Whether nothing more can happen to the req, so that the caller may forget it. */
     boolean settled();
