--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -803,15 +803,17 @@
         List<Slice> theirs = earlier.latest(EARLIER_SLICES, 0);
         Finding found = compare(mine, theirs, MARGIN);
         if (found == Finding.SLOW || found == Finding.ERRORS) {
-            // Guards against one sick, slow or ill-placed unit taken for a bad build: without its worst unit
-            // the build must fail all the same. Errors of its oldest unit count alone, as a build may turn
-            // bad with age. Could harm where a build is bad on one kind of machine only.
-            Unit odd = worst(mine, found == Finding.SLOW ? Outcome::slowness : o -> o.failed ? 1 : 0).get(0);
-            long asOldUs = odd.at.startUs() + SECOND;
-            boolean alone = found == Finding.ERRORS
-                && odd.build.ready.stream().noneMatch(u -> u != odd && u.at.startUs() <= asOldUs);
-            boolean rest = alone || compare(without(mine, List.of(odd)), theirs, MARGIN) == found;
-            return rest ? found : Finding.CLOSE;
+            // Guards against sick, slow or ill-placed units taken for a bad build: without its worst units the
+            // build must fail all the same. Errors of its oldest units count alone, as a build may turn bad
+            // with age. Could harm where a build is bad on one kind of machine only.
+            boolean slow = found == Finding.SLOW;
+            List<Unit> odd = worst(mine, slow ? Outcome::slowness : o -> o.failed ? 1 : 0);
+            odd = odd.subList(0, Math.max(1, odd.size() / (slow ? 2 : 4)));
+            Set<Unit> left = new HashSet<>(trial.ready);
+            left.removeAll(odd);
+            long asOldUs = odd.stream().mapToLong(u -> u.at.startUs()).max().orElse(0) + SECOND;
+            boolean alone = !slow && left.stream().noneMatch(u -> u.at.startUs() <= asOldUs);
+            return alone || compare(without(mine, odd), theirs, MARGIN) == found ? found : Finding.CLOSE;
         }
         // Guards against a build that slows old and new units alike, which the relative bar hides: all units
         // are set against what the earlier build needed before the trial, without the worse half of them, as
