--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -67,6 +67,9 @@
     private static final long CONFIRM_SLOW_US = 3 * SECOND;
     /** Like load: steps of one req in flight; half of FEWEST makes a figure. */
     private static final int LOAD_STEPS = 24;
+    /** Troubles strike at most this share of the units with errors, and of those with slowness. */
+    private static final double SICK_PART = 0.25;
+    private static final double SLOW_PART = 0.5;
     /** How long a released build is watched. */
     private static final long WATCH_US = 12 * SECOND;
     /** A stage's clock runs this long after its machines are up, or after its start at the latest. */
@@ -803,12 +806,12 @@
         List<Slice> theirs = earlier.latest(EARLIER_SLICES, 0);
         Finding found = compare(mine, theirs, MARGIN);
         if (found == Finding.SLOW || found == Finding.ERRORS) {
-            // Guards against sick, slow or ill-placed units taken for a bad build: without its worst units the
-            // build must fail all the same. Errors of its oldest units count alone, as a build may turn bad
+            // Guards against sick, slow or ill-placed units taken for a bad build: without its worst units
+            // the build must fail all the same. Errors of its oldest units count alone, as a build may turn bad
             // with age. Could harm where a build is bad on one kind of machine only.
             boolean slow = found == Finding.SLOW;
-            List<Unit> odd = worst(mine, slow ? Outcome::slowness : o -> o.failed ? 1 : 0);
-            odd = odd.subList(0, Math.max(1, odd.size() / (slow ? 2 : 4)));
+            List<Unit> odd = worst(mine, slow ? Outcome::slowness : Outcome::error);
+            odd = odd.subList(0, Math.max(1, (int) (odd.size() * (slow ? SLOW_PART : SICK_PART))));
             Set<Unit> left = new HashSet<>(trial.ready);
             left.removeAll(odd);
             long asOldUs = odd.stream().mapToLong(u -> u.at.startUs()).max().orElse(0) + SECOND;
@@ -822,7 +825,7 @@
         all.addAll(earlier.latest(TRIAL_SLICES, nowUs / SLICE_US - TRIAL_SLICES));
         List<Unit> units = worst(all, Outcome::slowness);
         String said = ground;
-        List<Slice> best = without(all, units.subList(0, units.size() / 2));
+        List<Slice> best = without(all, units.subList(0, (int) (units.size() * SLOW_PART)));
         if (compare(best, earlier.before, FLEET_MARGIN) == Finding.SLOW) {
             return Finding.SLOW;
         }
@@ -858,7 +861,10 @@
         }
         int[] once = new int[theirs.size()];
         Arrays.fill(once, 1);
-        double errorBar = Math.max(ERROR_BAR, MARGIN * errors(theirs, once));
+        // What strikes both builds is not held against one; sick units of the earlier build are no excuse.
+        List<Unit> sick = worst(theirs, Outcome::error);
+        sick = sick.subList(0, (int) Math.ceil(sick.size() * SICK_PART));
+        double errorBar = Math.max(ERROR_BAR, MARGIN * errors(without(theirs, sick), once));
         double[] errors = interval(mine.size(), times -> errors(mine, times));
         boolean enough = mine.size() >= FEWEST_SLICES;
         ground += String.format(", errors %.3f to %.3f, bar %.3f", errors[0], errors[1], errorBar);
@@ -924,6 +930,9 @@
 
     /** One outcome: time per announced work, reqs in flight at the unit, the unit's age. */
     private record Outcome(Unit unit, boolean failed, double slowness, double load, long ageUs) {
+        double error() {
+            return failed ? 1 : 0;
+        }
     }
 
     /** The outcomes of one second. */
