--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -807,7 +807,7 @@
         Finding found = compare(mine, theirs, MARGIN);
         if (found == Finding.SLOW || found == Finding.ERRORS) {
             // Guards against sick, slow or ill-placed units taken for a bad build: without its worst units
-            // the build must fail all the same. Errors of its oldest units count alone, as a build may turn bad
+            // the build must fail all the same. Errors of its oldest units count alone: builds may turn bad
             // with age. Could harm where a build is bad on one kind of machine only.
             boolean slow = found == Finding.SLOW;
             List<Unit> odd = worst(mine, slow ? Outcome::slowness : Outcome::error);
