--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -52,8 +52,9 @@
     private static final double ERROR_BAR = 0.02;
     /** Page: latency counts from units older than this, or than the time in which they are surely warm. */
     private static final long WARM_UP_US = 3 * SECOND;
-    /** Ours: a close call holds for this long past the stage's least time (page: 3 s). */
+    /** A close call holds this long past the least time (page: 3 s), longer if all but few units fail. */
     private static final long PATIENCE_US = SECOND;
+    private static final long SUSPECT_US = 3 * SECOND;
     /** The interval: draws, and the share left out at either end (95%). */
     private static final int DRAWS = 200;
     private static final double TAIL = 0.025;
@@ -79,7 +80,6 @@
     private static final double RENEW_AT = 0.6;
     private static final long REVOTE_US = 400_000;
 
-    // Units.
     private static final double SPEED_MEMORY_US = 4.0 * SECOND;
     private static final double RATE_MEMORY_US = 3.0 * SECOND;
     /** In flight at a unit: its measured rate x this share of the route's objective, plus a floor. */
@@ -105,7 +105,6 @@
     private static final double COLD_PART = 0.8;
     private static final double COLD_TIMES = 1.5;
 
-    // Further tries, shedding, the list.
     private static final double RETRY_SHARE = 0.1;
     private static final double RETRY_BURST = 5;
     private static final long SHED_PAUSE_US = 500_000;
@@ -143,7 +142,8 @@
     private long castUs;
     private boolean answerDue;
     private long voteNotBeforeUs;
-    private long failsSinceUs = Long.MAX_VALUE;
+    private long failedUs;
+    private long weighedUs;
     private String ground = "";
 
     /** The decisions of one relay, from what it is told at its start and its way out. */
@@ -278,7 +278,6 @@
 
     // ---- A req --------------------------------------------------------------------------------------------
 
-    /** A req that was taken. */
     private final class Rq implements Handle {
         private final String id;
         private final Route route;
@@ -319,7 +318,7 @@
                 return;
             }
             if (unit.build.onTrial()) {
-                unit.build.spend(routeNo);
+                unit.build.room[Math.min(routeNo, unit.build.room.length - 1)] -= 1;
             }
             Try t = new Try(unit);
             tries.add(t);
@@ -381,7 +380,6 @@
             }
         }
 
-        /** The client's time is up. */
         private void giveUp() {
             finish();
             out.error(id);
@@ -435,7 +433,6 @@
             return ROOM_FOR_LEAST + (1 - ROOM_FOR_LEAST) * value;
         }
 
-        /** One upstream try. */
         private final class Try {
             private final Rq rq = Rq.this;
             private final int number = tries.size();
@@ -490,10 +487,6 @@
             room[i] = Math.min(charter.rollout().free(), room[i] + capNow());
         }
 
-        private void spend(int route) {
-            room[Math.min(route, room.length - 1)] -= 1;
-        }
-
         private boolean mayTake(Rq rq) {
             if (!onTrial()) {
                 return !withdrawn.contains(number) && keyAllows(rq);
@@ -555,7 +548,6 @@
 
     // ---- A unit -------------------------------------------------------------------------------------------
 
-    /** One start of one unit. */
     private final class Unit {
         private final Listed at;
         private final Build build;
@@ -729,7 +721,7 @@
 
     // ---- The vote -----------------------------------------------------------------------------------------
 
-    private enum Finding { NO_VERDICT, PASS, CLOSE, SLOW, ERRORS }
+    private enum Finding { NO_VERDICT, PASS, CLOSE, SUSPECT, SLOW, ERRORS }
 
     /** The ordinary path of a vote: what the outcomes say, what the stage's time allows, what to say. */
     private void weigh() {
@@ -739,9 +731,11 @@
         }
         Finding finding = compare(trial, earlierThan(newest));
         boolean fails = finding == Finding.ERRORS || finding == Finding.SLOW;
-        failsSinceUs = fails ? Math.min(failsSinceUs, nowUs) : Long.MAX_VALUE;
-        boolean sure = fails && nowUs - failsSinceUs
-            >= (finding == Finding.ERRORS ? CONFIRM_ERRORS_US : CONFIRM_SLOW_US);
+        long sinceUs = Math.min(BEAT_US, nowUs - weighedUs);
+        failedUs = finding == Finding.PASS ? 0 : Math.max(0, failedUs + (fails ? sinceUs : -sinceUs));
+        weighedUs = nowUs;
+        boolean sure = fails
+            && failedUs >= (finding == Finding.ERRORS ? CONFIRM_ERRORS_US : CONFIRM_SLOW_US);
         if (phase == Phase.RELEASED) {
             // Released: the earlier build's machines leave, so nothing shows like load; only errors count.
             boolean bad = sure && finding == Finding.ERRORS && nowUs - stageFromUs < WATCH_US;
@@ -755,7 +749,8 @@
         } else if (finding == Finding.PASS) {
             verdict = nowUs < least ? Verdict.NONE : Verdict.ON;
         } else {
-            verdict = nowUs < least + PATIENCE_US ? Verdict.HOLD : Verdict.ON;
+            long waitUs = finding == Finding.SUSPECT ? SUSPECT_US : PATIENCE_US;
+            verdict = nowUs < least + waitUs ? Verdict.HOLD : Verdict.ON;
         }
         boolean clock = charter.rollout().gatekeeping() == Gatekeeping.CLOCK;
         cast(verdict == (clock ? Verdict.ON : Verdict.HOLD) ? Verdict.NONE : verdict);
@@ -804,7 +799,7 @@
             return Finding.NO_VERDICT;
         }
         List<Slice> theirs = earlier.latest(EARLIER_SLICES, 0);
-        Finding found = compare(mine, theirs, MARGIN);
+        Finding found = compare(mine, theirs, MARGIN, FEWEST);
         if (found == Finding.SLOW || found == Finding.ERRORS) {
             // Guards against sick, slow or ill-placed units taken for a bad build: without its worst units
             // the build must fail all the same. Errors of its oldest units count alone: builds may turn bad
@@ -816,7 +811,8 @@
             left.removeAll(odd);
             long asOldUs = odd.stream().mapToLong(u -> u.at.startUs()).max().orElse(0) + SECOND;
             boolean alone = !slow && left.stream().noneMatch(u -> u.at.startUs() <= asOldUs);
-            return alone || compare(without(mine, odd), theirs, MARGIN) == found ? found : Finding.CLOSE;
+            boolean rest = alone || compare(without(mine, odd), theirs, MARGIN, FEWEST / 2) == found;
+            return rest ? found : Finding.SUSPECT;
         }
         // Guards against a build that slows old and new units alike, which the relative bar hides: all units
         // are set against what the earlier build needed before the trial, without the worse half of them, as
@@ -826,7 +822,7 @@
         List<Unit> units = worst(all, Outcome::slowness);
         String said = ground;
         List<Slice> best = without(all, units.subList(0, (int) (units.size() * SLOW_PART)));
-        if (compare(best, earlier.before, FLEET_MARGIN) == Finding.SLOW) {
+        if (compare(best, earlier.before, FLEET_MARGIN, FEWEST) == Finding.SLOW) {
             return Finding.SLOW;
         }
         ground = said;
@@ -853,10 +849,10 @@
         return found;
     }
 
-    private Finding compare(List<Slice> mine, List<Slice> theirs, double margin) {
+    private Finding compare(List<Slice> mine, List<Slice> theirs, double margin, int fewest) {
         int seen = mine.stream().mapToInt(s -> s.outcomes.size()).sum();
         ground = seen + " outcomes";
-        if (seen < FEWEST) {
+        if (seen < fewest) {
             return Finding.NO_VERDICT;
         }
         int[] once = new int[theirs.size()];
@@ -874,7 +870,7 @@
         LikeLoad like = new LikeLoad(theirs);
         double[][] there = like.against(theirs, false);
         double[][] here = like.against(mine, true);
-        if (here.length < FEWEST || there.length == 0) {
+        if (here.length < fewest || there.length == 0) {
             return Finding.NO_VERDICT;
         }
         double bar = margin * percentile(there, once);
@@ -935,7 +931,6 @@
         }
     }
 
-    /** The outcomes of one second. */
     private record Slice(long number, List<Outcome> outcomes) {
     }
 
@@ -1006,12 +1001,10 @@
         }
 
         private void fade(long nowUs) {
-            if (nowUs > atUs) {
-                double left = Math.exp((atUs - nowUs) / memoryUs);
-                sum *= left;
-                count *= left;
-                atUs = nowUs;
-            }
+            double left = nowUs > atUs ? Math.exp((atUs - nowUs) / memoryUs) : 1;
+            sum *= left;
+            count *= left;
+            atUs = nowUs;
         }
 
         void add(long nowUs, double value) {
