--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -602,14 +602,14 @@
             } else {
                 failures.add(nowUs, 1);
             }
-            if (ending != Ending.TIMED_OUT && ending != Ending.CANCELLED) {
-                lastHeardUs = nowUs;
-            }
+            // A try without an answer counts as a very slow one, not as an error: load alone can be the cause.
+            boolean unheard = ending == Ending.TIMED_OUT || ending == Ending.CANCELLED;
+            lastHeardUs = unheard ? lastHeardUs : nowUs;
             if (!Double.isNaN(load.waiting())) {
                 waiting = load.waiting();
                 waitingAtUs = nowUs;
             }
-            build.record(this, ending != Ending.COMPLETED, slow,
+            build.record(this, ending != Ending.COMPLETED && !unheard, slow,
                 (t.ahead + out.size()) / 2.0 + (charter.relays() - 1) * ahead.mean(nowUs, 0));
         }
 
