--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -88,9 +88,9 @@
     /** Of that room, the least valuable reqs may use this much. */
     private static final double ROOM_FOR_LEAST = 0.5;
     /** A unit on trial bears at most this multiple of the work of one place, by its kind's speed. */
-    private static final double TRIAL_TIMES = 1.2;
+    private static final double TRIAL_TIMES = 1.35;
     /** In flight at a unit on trial: one, and measured rate x this multiple of the earlier build's time. */
-    private static final double TRIAL_WAIT = 1.3;
+    private static final double TRIAL_WAIT = 1.6;
     /** Silence: nothing came back for this long plus a multiple of the usual time, with reqs out. */
     private static final long SILENT_US = 700_000;
     private static final double SILENT_TIMES = 4;
