--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -602,7 +602,7 @@
             } else {
                 failures.add(nowUs, 1);
             }
-            // A try without an answer counts as a very slow one, not as an error: load alone can be the cause.
+            // A try without an answer counts as a very slow one, not as an error: load alone can cause it.
             boolean unheard = ending == Ending.TIMED_OUT || ending == Ending.CANCELLED;
             lastHeardUs = unheard ? lastHeardUs : nowUs;
             if (!Double.isNaN(load.waiting())) {
