--- a/src/main/java/gatelock/bench/Fields.java
+++ b/src/main/java/gatelock/bench/Fields.java
@@ -56,7 +56,14 @@
     }
 
     int code(String what, int codes) {
-        long value = number(what);
+        return below(codes, number(what), what);
+    }
+
+    int codeOr(int absent, String what, int codes) {
+        return below(codes, numberOr(absent), what);
+    }
+
+    private int below(int codes, long value, String what) {
         if (value < 0 || value >= codes) {
             throw new MalformedLine("expected " + what + " below " + codes + " in " + name + ", found " + value);
         }
--- a/src/main/java/gatelock/bench/Wirehost.java
+++ b/src/main/java/gatelock/bench/Wirehost.java
@@ -131,6 +131,10 @@
         } catch (MalformedLine e) {
             System.err.println("gatelock: line " + host.lineNo + ": " + e.getMessage());
             System.exit(2);
+        } catch (IndexOutOfBoundsException e) {
+            System.err.println("gatelock: line " + host.lineNo
+                + ": expected a number that the settings or earlier lines name, " + e.getMessage());
+            System.exit(2);
         }
     }
 
@@ -234,7 +238,7 @@
                 double cap = f.realOr(0);
                 long agoUs = f.numberOr(0) / 1000;
                 boolean asked = f.numberOr(0) == 1;
-                Gate.Phase phase = PHASES[(int) f.numberOr(0)];
+                Gate.Phase phase = PHASES[f.codeOr(0, "phase", PHASES.length)];
                 Gate.VoteAnswer answer = f.oneOf(ANSWERS, "result");
                 relay.gate.news(nowUs, (int) f.numberOr(0), stage, phase, cap, agoUs,
                     asked || answer != Gate.VoteAnswer.COUNTED ? answer : Gate.VoteAnswer.NOT_ASKED);
