--- a/src/main/java/gatelock/bench/Wirehost.java
+++ b/src/main/java/gatelock/bench/Wirehost.java
@@ -201,7 +201,7 @@
             int kind = (int) m.numberOr(0);
             int cell = (int) m.numberOr(0);
             Listed.Health health = HEALTH[m.code("health", HEALTH.length)];
-            m.realOr(1);
+            m.realOr(1); // the weight, which steers nothing
             entries.add(new Listed(unit, build, zone, kind, cell, health, m.numberOr(0) / 1000));
         }
         lists.set(number, entries);
--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -172,9 +172,7 @@
     public Handle take(long nowUs, String id, int route, int tenant, long key, long leftUs, long costUs) {
         this.nowUs = nowUs;
         Rq rq = new Rq(id, route, tenant, key, nowUs + leftUs, costUs);
-        for (Build build : builds.values()) {
-            build.earn(route);
-        }
+        builds.values().forEach(b -> b.earn(route));
         retryTokens = Math.min(RETRY_BURST, retryTokens + RETRY_SHARE);
         if (tenant < tenantRate.length) {
             tenantRate[tenant].add(nowUs, 1);
@@ -213,11 +211,8 @@
             u.health = l.health();
         }
         builds.values().forEach(b -> b.ready.clear());
-        for (Unit u : units.values()) {
-            if (u.health == Listed.Health.READY) {
-                u.build.ready.add(u);
-            }
-        }
+        units.values().stream().filter(u -> u.health == Listed.Health.READY)
+            .forEach(u -> u.build.ready.add(u));
     }
 
     @Override
@@ -318,7 +313,7 @@
                 return;
             }
             if (unit.build.onTrial()) {
-                unit.build.room[Math.min(routeNo, unit.build.room.length - 1)] -= 1;
+                unit.build.room[unit.build.slot(routeNo)] -= 1;
             }
             Try t = new Try(unit);
             tries.add(t);
@@ -483,8 +478,11 @@
          * as room that never exceeds 'free', so that no window can open after the reqs that earned it.
          */
         private void earn(int route) {
-            int i = Math.min(route, room.length - 1);
-            room[i] = Math.min(charter.rollout().free(), room[i] + capNow());
+            room[slot(route)] = Math.min(charter.rollout().free(), room[slot(route)] + capNow());
+        }
+
+        private int slot(int route) {
+            return Math.min(route, room.length - 1);
         }
 
         private boolean mayTake(Rq rq) {
@@ -492,7 +490,7 @@
                 return !withdrawn.contains(number) && keyAllows(rq);
             }
             int stageNow = number == newest ? stage : 0;
-            return capNow() > 0 && room[Math.min(rq.routeNo, room.length - 1)] >= 1 && keyAllows(rq)
+            return capNow() > 0 && room[slot(rq.routeNo)] >= 1 && keyAllows(rq)
                 && (stageNow >= charter.rollout().guardedStages()
                     || rq.route.repeat() == Route.Repeat.RETRIABLE);
         }
@@ -506,9 +504,11 @@
         /** Two random choices among the units with room, the one with the shorter expected wait. */
         private Unit pick(Rq rq) {
             boolean someBad = badShare() <= MOST;
+            double claim = rq.claim();
             List<Unit> open = new ArrayList<>(ready.size());
             for (Unit u : ready) {
-                if (!u.hasRoom(rq) || !rq.mayRepeatAt(u) || rq.tries.stream().anyMatch(t -> t.unit == u)) {
+                if (!u.hasRoom(rq, claim) || !rq.mayRepeatAt(u)
+                        || rq.tries.stream().anyMatch(t -> t.unit == u)) {
                     continue;
                 }
                 if (!someBad || !u.looksBad()) {
@@ -651,10 +651,10 @@
         }
 
         /** In flight bounded by measured rate x time; on trial by the earlier build's time and work too. */
-        private boolean hasRoom(Rq rq) {
+        private boolean hasRoom(Rq rq, double claim) {
             double perUs = answers.count(nowUs) / RATE_MEMORY_US;
             double inTime = perUs * rq.route.objectiveUs() * OBJECTIVE_SHARE;
-            if (out.size() >= (INFLIGHT_FLOOR + inTime) * rq.claim()) {
+            if (out.size() >= (INFLIGHT_FLOOR + inTime) * claim) {
                 return false;
             }
             if (build.onTrial() && !out.isEmpty()) {
@@ -742,7 +742,7 @@
             cast(bad ? Verdict.BACK : Verdict.NONE);
             return;
         }
-        long least = clockFromUs() + charter.rollout().leastUs();
+        long least = clockFromUs(trial) + charter.rollout().leastUs();
         Verdict verdict;
         if (fails) {
             verdict = sure ? Verdict.BACK : Verdict.HOLD;
@@ -765,14 +765,10 @@
     }
 
     /** When the stage's clock began to run, as far as can be told: its machines up, and a little. */
-    private long clockFromUs() {
-        long upUs = stageFromUs;
-        Build trial = builds.get(newest);
-        for (Unit u : trial.ready) {
-            upUs = Math.max(upUs, u.at.startUs());
-        }
+    private long clockFromUs(Build trial) {
+        long upUs = trial.ready.stream().mapToLong(u -> u.at.startUs()).max().orElse(0);
         long latestUs = stageFromUs + CLOCK_LATEST_US;
-        return trial.ready.isEmpty() ? latestUs : Math.min(latestUs, upUs) + CLOCK_LAG_US;
+        return trial.ready.isEmpty() ? latestUs : Math.min(latestUs, Math.max(stageFromUs, upUs)) + CLOCK_LAG_US;
     }
 
     private void cast(Verdict verdict) {
@@ -860,8 +856,9 @@
         // What strikes both builds is not held against one; sick units of the earlier build are no excuse.
         List<Unit> sick = worst(theirs, Outcome::error);
         sick = sick.subList(0, (int) Math.ceil(sick.size() * SICK_PART));
-        double errorBar = Math.max(ERROR_BAR, MARGIN * errors(without(theirs, sick), once));
-        double[] errors = interval(mine.size(), times -> errors(mine, times));
+        double errorBar = Math.max(ERROR_BAR, MARGIN * errors(counts(without(theirs, sick)), once));
+        long[][] counts = counts(mine);
+        double[] errors = interval(mine.size(), times -> errors(counts, times));
         boolean enough = mine.size() >= FEWEST_SLICES;
         ground += String.format(", errors %.3f to %.3f, bar %.3f", errors[0], errors[1], errorBar);
         if (errors[0] > errorBar && enough) {
@@ -897,13 +894,18 @@
         return new double[] {found[cut], found[DRAWS - 1 - cut]};
     }
 
-    /** The share of errors, each slice counted so many times. */
-    private static double errors(List<Slice> slices, int[] times) {
+    private static long[][] counts(List<Slice> slices) {
+        return slices.stream().map(s -> new long[] {s.outcomes.size(),
+            s.outcomes.stream().filter(Outcome::failed).count()}).toArray(long[][]::new);
+    }
+
+    /** The share of errors in rows {outcomes, failed}, one a slice, each counted so many times. */
+    private static double errors(long[][] counts, int[] times) {
         double all = 0;
         double bad = 0;
         for (int i = 0; i < times.length; i++) {
-            all += times[i] * slices.get(i).outcomes.size();
-            bad += times[i] * slices.get(i).outcomes.stream().filter(Outcome::failed).count();
+            all += times[i] * counts[i][0];
+            bad += times[i] * counts[i][1];
         }
         return bad / Math.max(1, all);
     }
--- a/src/main/java/gatelock/relay/Rollout.java
+++ b/src/main/java/gatelock/relay/Rollout.java
@@ -2,7 +2,7 @@
 
 /**
  * How builds are released here. {@code leastUs} is a stage's least time; {@code caps} gives each stage's share of
- * the reqs; {@code free} tries come on top of the share within any {@code windowUs}.
+ * the reqs; {@code free} tries come on top of the share within any window.
  */
 public record Rollout(Gatekeeping gatekeeping, long leastUs, long voteLifeUs, long voteWaitUs, double[] caps,
                       int guardedStages, boolean perRoute, boolean oneWay, double free) {
