--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -41,8 +41,7 @@
     /** Silence is looked for and the verdict is drawn this often. */
     private static final long BEAT_US = SECOND / 4;
 
-    // The verdict; "page" marks what the design page gives.
-    /** Page: outcomes go in slices of this length; fewer trial outcomes than this give no verdict. */
+    /** Page (what its page gives): outcomes in slices of this length; with fewer on trial no verdict. */
     private static final long SLICE_US = SECOND;
     private static final int FEWEST = 20;
     /** Page: both bars. Ours: 1.5 between builds, as units of one kind differ by a fifth. */
@@ -766,9 +765,10 @@
 
     /** When the stage's clock began to run, as far as can be told: its machines up, and a little. */
     private long clockFromUs(Build trial) {
-        long upUs = trial.ready.stream().mapToLong(u -> u.at.startUs()).max().orElse(0);
+        long startUs = trial.ready.stream().mapToLong(u -> u.at.startUs()).max().orElse(0);
         long latestUs = stageFromUs + CLOCK_LATEST_US;
-        return trial.ready.isEmpty() ? latestUs : Math.min(latestUs, Math.max(stageFromUs, upUs)) + CLOCK_LAG_US;
+        long upUs = Math.min(latestUs, Math.max(stageFromUs, startUs));
+        return trial.ready.isEmpty() ? latestUs : upUs + CLOCK_LAG_US;
     }
 
     private void cast(Verdict verdict) {
