Bounds that add up: cold, trial and in-flight bounds are this relay's part of the fleet's

Cause: every floor (one cold req a window, one trial req, two in flight a unit) was multiplied by the relays, up to 155. Now a cold or trial unit has a budget that fills with this relay's completed work a place times what the unit surely can do; in flight over all units is measured rate x time plus a share of a fleet floor; two draws a pick, no walk of the fleet.

--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -1,29 +1,9 @@
 package gatelock.decision;
 
-import gatelock.relay.Charter;
-import gatelock.relay.Ending;
-import gatelock.relay.Gate;
-import gatelock.relay.Handle;
-import gatelock.relay.Listed;
-import gatelock.relay.Load;
-import gatelock.relay.Outlet;
+import gatelock.relay.*;
 import gatelock.relay.Rollout.Gatekeeping;
-import gatelock.relay.Route;
-import gatelock.relay.Verdict;
-
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.Comparator;
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
-import java.util.List;
-import java.util.Map;
-import java.util.Set;
-import java.util.SplittableRandom;
-import java.util.TreeMap;
+
+import java.util.*;
 import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
 
@@ -79,30 +59,36 @@
     private static final double RENEW_AT = 0.6;
     private static final long REVOTE_US = 400_000;
 
+    /** Measures of a unit fade over this time, and longer the less of the reqs one relay of many sees. */
     private static final double SPEED_MEMORY_US = 4.0 * SECOND;
+    private static final double FEW_RELAYS = 8;
+    private static final double LONGEST = 4;
     private static final double RATE_MEMORY_US = 3.0 * SECOND;
+    private static final double WORK_MEMORY_US = 6.0 * SECOND;
     /** In flight at a unit: its measured rate x this share of the route's objective, plus a floor. */
     private static final double OBJECTIVE_SHARE = 0.4;
     private static final double INFLIGHT_FLOOR = 2;
+    /** In flight over all units: the same, and this relay's share of so many for each unit. */
+    private static final double FLEET_FLOOR = 6;
     /** Of that room, the least valuable reqs may use this much. */
     private static final double ROOM_FOR_LEAST = 0.5;
-    /** A unit on trial bears at most this multiple of the work of one place, by its kind's speed. */
-    private static final double TRIAL_TIMES = 1.35;
-    /** In flight at a unit on trial: one, and measured rate x this multiple of the earlier build's time. */
-    private static final double TRIAL_WAIT = 1.6;
+    /** A unit on trial, a cold unit: work of one place that it may be sent, by what it surely can do. */
+    private static final double TRIAL_TIMES = 1.7;
+    private static final double COLD_TIMES = 1.5;
+    /** Such budgets never save up more than this time's, and one req. */
+    private static final double SAVED_US = SECOND / 4.0;
+    /** Where nothing was completed of late, this part of the work taken stands for it. */
+    private static final double TAKEN_PART = 0.25;
     /** Silence: nothing came back for this long plus a multiple of the usual time, with reqs out. */
     private static final long SILENT_US = 700_000;
     private static final double SILENT_TIMES = 4;
     /** Out of use: this share of errors among its latest outcomes, with at least so many. */
     private static final double SICK_ERRORS = 0.35;
     private static final double SICK_FEWEST = 4;
-    /** A unit out of use is tried with one req this often. */
-    private static final long RETRY_UNIT_US = SECOND;
+    /** A unit out of use is still tried with this share of the retriable reqs that would have come to it. */
+    private static final double TRY_BAD = 0.1;
     /** If more than this share of all units look bad, the units are not the cause. */
     private static final double MOST = 0.6;
-    /** Cold units: this part of the rule's multiple, never more than so many times what they can do. */
-    private static final double COLD_PART = 0.8;
-    private static final double COLD_TIMES = 1.5;
 
     private static final double RETRY_SHARE = 0.1;
     private static final double RETRY_BURST = 5;
@@ -122,6 +108,14 @@
     private final Map<Long, Integer> pinned = new HashMap<>();
     private final Fading[] cost;
     private final Fading[] tenantRate;
+    private final Fading answers = new Fading(RATE_MEMORY_US);
+    private final Fading done = new Fading(WORK_MEMORY_US);
+    private final Fading taken = new Fading(WORK_MEMORY_US);
+    private final TreeMap<Integer, Fading> slowByKind = new TreeMap<>();
+    private final Fading slowOfAll = new Fading(SPEED_MEMORY_US);
+    private int places = 1;
+    private int inFlight;
+    private boolean someBad = true;
     private long nowUs;
     private long nextToken = 2;
     private double retryTokens = RETRY_BURST;
@@ -176,6 +170,7 @@
         if (tenant < tenantRate.length) {
             tenantRate[tenant].add(nowUs, 1);
         }
+        taken.add(nowUs, rq.costUs);
         byToken.put(rq.token, rq);
         out.timer(leftUs, rq.token);
         rq.place();
@@ -212,6 +207,7 @@
         builds.values().forEach(b -> b.ready.clear());
         units.values().stream().filter(u -> u.health == Listed.Health.READY)
             .forEach(u -> u.build.ready.add(u));
+        places = Math.max(1, builds.values().stream().mapToInt(b -> b.ready.size()).max().orElse(0));
     }
 
     @Override
@@ -263,6 +259,9 @@
         } else if (token == BEAT) {
             out.timer(BEAT_US, BEAT);
             units.values().forEach(Unit::lookForSilence);
+            long ready = units.values().stream().filter(u -> u.health == Listed.Health.READY).count();
+            someBad = units.values().stream().filter(u -> u.health == Listed.Health.READY && u.looksBad())
+                .count() <= MOST * ready;
             weigh();
         } else if (token == ASK_LIST) {
             askSet = false;
@@ -302,11 +301,13 @@
         private void place() {
             boolean first = tries.isEmpty();
             // 1. First sends fill the cap of the build on trial.
-            Unit unit = first ? choose(true) : null;
+            double claim = claim();
+            boolean room = inFlight + chance.nextDouble() < claim * mostInFlight(route);
+            Unit unit = first && room ? choose(true, claim) : null;
             // 2. The rest goes to the released build, and what it has no room for to those before it.
-            unit = unit != null ? unit : choose(false);
+            unit = unit != null || !room ? unit : choose(false, claim);
             // 3. A further try goes to the trial only if nowhere else: first sends have the cap.
-            unit = unit != null || first ? unit : choose(true);
+            unit = unit != null || first || !room ? unit : choose(true, claim);
             if (unit == null || nowUs >= endUs) {
                 turnAway();
                 return;
@@ -317,15 +318,16 @@
             Try t = new Try(unit);
             tries.add(t);
             outNow++;
+            inFlight++;
             unit.sent(t);
             out.send(id, unit.at.unit(), 0);
         }
 
-        private Unit choose(boolean trial) {
+        private Unit choose(boolean trial, double claim) {
             Unit unit = null;
             for (Build b : builds.descendingMap().values()) {
                 if (unit == null && b.onTrial() == trial && b.mayTake(this)) {
-                    unit = b.pick(this);
+                    unit = b.pick(this, claim);
                 }
             }
             return unit;
@@ -390,6 +392,7 @@
             Try t = tries.get(tryNo);
             t.ending = ending;
             outNow--;
+            inFlight--;
             t.unit.ended(t, ending, tookUs, load);
             if (over) {
                 return;
@@ -455,6 +458,7 @@
         private final List<Unit> ready = new ArrayList<>();
         private final ArrayDeque<Slice> slices = new ArrayDeque<>();
         private final double[] room;
+        private final Fading slowness = new Fading(SPEED_MEMORY_US);
         private List<Slice> before = List.of();
 
         Build(int number) {
@@ -500,29 +504,24 @@
             return number >= floor || withdrawn.contains(floor);
         }
 
-        /** Two random choices among the units with room, the one with the shorter expected wait. */
-        private Unit pick(Rq rq) {
-            boolean someBad = badShare() <= MOST;
-            double claim = rq.claim();
-            List<Unit> open = new ArrayList<>(ready.size());
-            for (Unit u : ready) {
-                if (!u.hasRoom(rq, claim) || !rq.mayRepeatAt(u)
-                        || rq.tries.stream().anyMatch(t -> t.unit == u)) {
-                    continue;
-                }
-                if (!someBad || !u.looksBad()) {
-                    open.add(u);
-                } else if (rq.route.repeat() == Route.Repeat.RETRIABLE && rq.tries.isEmpty()
-                        && nowUs - u.lastSentUs >= RETRY_UNIT_US) {
-                    return u;
+        /**
+         * Two random choices, the one with the shorter expected wait; a further unit is looked at only
+         * where one is refused.
+         */
+        private Unit pick(Rq rq, double claim) {
+            Unit best = null;
+            for (int i = 0, found = 0; i < ready.size() && found < 2; i++) {
+                Collections.swap(ready, i, i + chance.nextInt(ready.size() - i));
+                Unit u = ready.get(i);
+                boolean tryBad = rq.route.repeat() == Route.Repeat.RETRIABLE && rq.tries.isEmpty()
+                    && chance.nextDouble() < TRY_BAD;
+                if (u.hasRoom(rq, claim) && rq.mayRepeatAt(u) && rq.tries.stream().noneMatch(t -> t.unit == u)
+                        && (!someBad || tryBad || !u.looksBad())) {
+                    best = best == null || u.expectedWait() < best.expectedWait() ? u : best;
+                    found++;
                 }
             }
-            if (open.isEmpty()) {
-                return null;
-            }
-            Unit a = open.get(chance.nextInt(open.size()));
-            Unit b = open.get(chance.nextInt(open.size()));
-            return a.expectedWait() <= b.expectedWait() ? a : b;
+            return best;
         }
 
         private void record(Unit unit, boolean failed, double slowness, double load) {
@@ -551,15 +550,13 @@
         private final Listed at;
         private final Build build;
         private final Set<Rq.Try> out = new LinkedHashSet<>();
-        private final Fading slowness = new Fading(SPEED_MEMORY_US);
-        private final Fading failures = new Fading(SPEED_MEMORY_US);
+        private final Fading slowness = new Fading(unitMemoryUs());
+        private final Fading failures = new Fading(unitMemoryUs());
         private final Fading answers = new Fading(RATE_MEMORY_US);
         private final Fading ahead = new Fading(RATE_MEMORY_US);
-        private final Fading work = new Fading(RATE_MEMORY_US);
-        private final ArrayDeque<long[]> coldSends = new ArrayDeque<>();
-        private long coldWork;
+        private double budget = -chance.nextDouble() * meanCost();
+        private long budgetUs = nowUs;
         private Listed.Health health;
-        private long lastSentUs;
         private long lastHeardUs;
         private boolean silent;
         private double waiting;
@@ -572,14 +569,9 @@
 
         private void sent(Rq.Try t) {
             lastHeardUs = out.isEmpty() ? nowUs : lastHeardUs;
-            lastSentUs = nowUs;
             ahead.add(nowUs, out.size());
             out.add(t);
-            work.add(nowUs, t.rq.costUs);
-            if (cold()) {
-                coldSends.add(new long[] {nowUs, t.rq.costUs});
-                coldWork += t.rq.costUs;
-            }
+            budget -= t.rq.costUs * Math.max(1, build.slowness.mean(nowUs, 0) / usualSlowness(at.kind()));
         }
 
         private void ended(Rq.Try t, Ending ending, long tookUs, Load load) {
@@ -592,6 +584,13 @@
                 silent = false;
                 answers.add(nowUs, 1);
                 slowness.add(nowUs, slow);
+                ReleaseGate.this.answers.add(nowUs, 1);
+                done.add(nowUs, t.rq.costUs);
+                build.slowness.add(nowUs, slow);
+                if (!build.onTrial()) {
+                    slowOfAll.add(nowUs, slow);
+                    slowByKind.computeIfAbsent(at.kind(), k -> new Fading(SPEED_MEMORY_US)).add(nowUs, slow);
+                }
                 for (int i : new int[] {t.rq.routeNo, cost.length - 1}) {
                     cost[i].add(nowUs, t.rq.hinted ? t.rq.costUs : tookUs);
                 }
@@ -649,35 +648,26 @@
             return from + (1 - from) * warm;
         }
 
-        /** In flight bounded by measured rate x time; on trial by the earlier build's time and work too. */
+        /** In flight bounded by measured rate x time; cold or on trial by its budget too. */
         private boolean hasRoom(Rq rq, double claim) {
-            double perUs = answers.count(nowUs) / RATE_MEMORY_US;
-            double inTime = perUs * rq.route.objectiveUs() * OBJECTIVE_SHARE;
-            if (out.size() >= (INFLIGHT_FLOOR + inTime) * claim) {
-                return false;
-            }
-            if (build.onTrial() && !out.isEmpty()) {
-                double usual = usualSlowness(at.kind());
-                double most = TRIAL_TIMES * able() * workPerPlace() * usualSlowness(-1) / usual;
-                if (out.size() >= 1 + perUs * TRIAL_WAIT * usual * meanCost()
-                        || work.sum(nowUs) / RATE_MEMORY_US > most) {
-                    return false;
-                }
-            }
-            return !cold() || coldRoom(rq);
+            double inTime = answers.count(nowUs) / RATE_MEMORY_US * rq.route.objectiveUs() * OBJECTIVE_SHARE;
+            boolean room = out.size() < (INFLIGHT_FLOOR + inTime) * claim;
+            return room && (!cold() && !build.onTrial() || inBudget());
         }
 
         /**
-         * Rule 4 as a budget over any window: this relay's part of a multiple of what the unit can do at its
-         * age, guessed low, from the work that one place bears. One req a window always goes.
+         * Rule 4, for all relays together: each sends its own part of the work that one place bears, times
+         * what the unit surely can do at its age. The parts add up to no more than a multiple of what the
+         * fleet really completes, however many relays there are; one whose part is under a req at a time
+         * waits, from a start drawn by chance. A slow build's reqs cost as many times more.
          */
-        private boolean coldRoom(Rq rq) {
-            while (!coldSends.isEmpty() && coldSends.peek()[0] < nowUs - charter.coldWindowUs()) {
-                coldWork -= coldSends.poll()[1];
-            }
-            double times = Math.min(COLD_TIMES, COLD_PART * charter.coldMultiple());
-            return coldSends.isEmpty()
-                || coldWork + rq.costUs <= times * able() * workPerPlace() * charter.coldWindowUs();
+        private boolean inBudget() {
+            double times = build.onTrial() ? TRIAL_TIMES : COLD_TIMES;
+            times = Math.min(cold() ? COLD_TIMES : times, times);
+            double rate = times * able() * workPerPlace() * usualSlowness(-1) / usualSlowness(at.kind());
+            budget = Math.min(budget + rate * (nowUs - budgetUs), rate * SAVED_US);
+            budgetUs = nowUs;
+            return budget > 0;
         }
 
         private double expectedWait() {
@@ -688,29 +678,26 @@
         }
     }
 
-    /** The share of units that look bad, over all builds: after a release the earlier ones go all at once. */
-    private double badShare() {
-        List<Unit> ready = builds.values().stream().flatMap(b -> b.ready.stream()).toList();
-        return (double) ready.stream().filter(Unit::looksBad).count() / Math.max(1, ready.size());
+    private double unitMemoryUs() {
+        return SPEED_MEMORY_US * Math.min(LONGEST, Math.max(1, charter.relays() / FEW_RELAYS));
+    }
+
+    /** What may be in flight over all units: measured rate x time, and this relay's share of a floor. */
+    private double mostInFlight(Route route) {
+        return FLEET_FLOOR * places / charter.relays()
+            + answers.count(nowUs) / RATE_MEMORY_US * route.objectiveUs() * OBJECTIVE_SHARE;
     }
 
-    /** Work this relay has for one of the fleet's places, in microseconds of work per microsecond. */
+    /** Work this relay completes for each of the fleet's places, in microseconds of work per microsecond. */
     private double workPerPlace() {
-        double sum = units.values().stream().mapToDouble(u -> u.work.sum(nowUs)).sum();
-        int places = builds.values().stream().mapToInt(b -> b.ready.size()).max().orElse(0);
-        return sum / RATE_MEMORY_US / Math.max(1, places);
+        return Math.max(done.sum(nowUs), TAKEN_PART * taken.sum(nowUs)) / WORK_MEMORY_US / places;
     }
 
-    /** Time per announced work at the units not on trial: of one kind where any has answered, else of all. */
+    /** Time per announced work at the units not on trial: of one kind (-1: all), drawn to that of all. */
     private double usualSlowness(int kind) {
-        double[] sums = new double[4];
-        for (Unit u : units.values()) {
-            for (int i = u.at.kind() == kind ? 0 : 2; i < 4 && !u.build.onTrial(); i += 2) {
-                sums[i] += u.slowness.sum(nowUs);
-                sums[i + 1] += u.slowness.count(nowUs);
-            }
-        }
-        return sums[1] >= 1 ? sums[0] / sums[1] : sums[3] >= 1 ? sums[2] / sums[3] : 1.5;
+        double all = slowOfAll.mean(nowUs, 1.5);
+        Fading own = slowByKind.get(kind);
+        return own == null ? all : (own.sum(nowUs) + all) / (own.count(nowUs) + 1);
     }
 
     /** Announced work of a req, on average of late. */
