--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -68,6 +68,7 @@
     /** Votes: renewed after this share of their life; the wait after one that was turned away. */
     private static final double RENEW_AT = 0.6;
     private static final long REVOTE_US = 400_000;
+    private static final int VOICES_LOGGED = 2; // of all relays, so many log a vote that is not back
 
     /** Measures of a unit fade over this time, and longer the less of the reqs one relay of many sees. */
     private static final double SPEED_MEMORY_US = 4.0 * SECOND;
@@ -889,7 +890,7 @@
         if (said || waiting || nowUs < Math.max(voteNotBeforeUs, verdictUs + myTurnUs)) {
             return;
         }
-        if (verdict != Verdict.NONE && verdict != stands) {
+        if (verdict == Verdict.BACK || verdict != stands && chance.nextInt(charter.relays()) < VOICES_LOGGED) {
             out.say(verdict + " build " + newest + " stage " + stage + ": " + ground);
         }
         stands = verdict;
@@ -924,7 +925,7 @@
         }
         List<Slice> now = earlier.counts.from(weighedFrom());
         return compare(trial, trial.counts, earlier.counts, Slice.seen(now) >= FEWEST ? now : earlier.counts.all(),
-            COUNTS_MARGIN, COUNTS_MARGIN, 1, FEWEST);
+            COUNTS_MARGIN, COUNTS_MARGIN, stretch, FEWEST);
     }
 
     /** How many times as wide an interval must be, for so many voices of all relays to fail together by chance. */
