--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -313,7 +313,8 @@
         Build b = builds.get(build);
         if (b != null && count > 0 && route >= 0 && route < charter.routes().size()) {
             long endUs = nowUs - agoUs;
-            long age = (long) b.ready.stream().mapToLong(u -> endUs - u.at.startUs()).average().orElse(0);
+            long age = b.ready.stream().map(u -> endUs - u.at.startUs()).sorted().skip(b.ready.size() / 2)
+                .findFirst().orElse(0L);
             // They stand as outcomes of one unit a route, each route a kind of its own.
             // The desk tells no try without an answer from an error; this relay's own endings do.
             List<Outcome> cell = new ArrayList<>(count);
@@ -925,7 +926,7 @@
         }
         List<Slice> now = earlier.counts.from(weighedFrom());
         return compare(trial, trial.counts, earlier.counts, Slice.seen(now) >= FEWEST ? now : earlier.counts.all(),
-            COUNTS_MARGIN, COUNTS_MARGIN, stretch, FEWEST);
+            COUNTS_MARGIN, COUNTS_MARGIN, 1, FEWEST);
     }
 
     /** How many times as wide an interval must be, for so many voices of all relays to fail together by chance. */
