--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -81,8 +81,9 @@
     private static final double OBJECTIVE_SHARE = 0.4;
     private static final double INFLIGHT_FLOOR = 2;
     private static final double FLEET_FLOOR = 6;
-    /** So many times more while answers come that much quicker than that share of the objective. */
+    /** So many times more at most, while answers take less than this share of the objective. */
     private static final double QUICK_TIMES = 3;
+    private static final double QUICK_SHARE = 0.7;
     /** Of that room, the least valuable reqs may use this much. */
     private static final double ROOM_FOR_LEAST = 0.5;
     /** Work of one place that a trial or cold unit may be sent, by what it surely can do; part of the rule's multiple. */
@@ -803,7 +804,7 @@
         double perUs = answers.count(nowUs) / RATE_MEMORY_US;
         double took = IntStream.range(0, routeSlow.length)
             .mapToDouble(r -> usualTook(r) / charter.routes().get(r).objectiveUs()).min().orElse(0);
-        double quick = Math.max(1, Math.min(QUICK_TIMES, OBJECTIVE_SHARE / took));
+        double quick = Math.max(1, Math.min(QUICK_TIMES, QUICK_SHARE / took));
         double backlog = nowUs - stoodUs < SECOND ? perUs * stoodForUs : 0;
         return quick * (FLEET_FLOOR * places / charter.relays() + perUs * route.objectiveUs() * OBJECTIVE_SHARE)
             + backlog;
@@ -938,15 +939,16 @@
         return relays == 1 ? 1 : Bootstrap.normalWidth((Math.log(FALSE_BACKS) - logWays) / voices) / TAIL_WIDTH;
     }
 
-    /**
-     * 95% intervals, bootstrapped over slices, of the trial's errors and of its percentile, against the bars.
-     */
+    /** Intervals of the trial's errors and percentile against the bars, and what else could lie behind a fail. */
     private Finding compare(Build trial, Ledger its, Ledger earlier, List<Slice> theirs, double margin,
                             double fleet, double stretch, int fewest) {
         List<Slice> mine = its.from(weighedFrom());
         Finding found = compare(mine, theirs, margin, stretch, fewest);
         boolean slow = found == Finding.SLOW;
-        if ((slow || found == Finding.ERRORS) && mine.get(0).outcomes().get(0).unit() instanceof Unit) {
+        if ((slow || found == Finding.ERRORS) && its == trial.counts) {
+            return found;
+        }
+        if (slow || found == Finding.ERRORS) {
             // Guards against sick, slow or ill-placed units taken for a bad build: without its worst units
             // the build must fail all the same. Errors of its oldest units count alone: builds may turn bad
             // with age. Could harm where a build is bad on one kind of machine only.
@@ -960,9 +962,6 @@
             boolean rest = alone || compare(Slice.without(mine, odd), theirs, MARGIN, stretch, fewest / 2) == found;
             return rest ? found : Finding.SUSPECT;
         }
-        if (slow || found == Finding.ERRORS) {
-            return found;
-        }
         // Guards against a build that slows old and new units alike, which the relative bar hides: all units
         // are set against what the earlier build needed before the trial, without the worse half of them, as
         // other troubles spare some. Could harm when something else slows the whole fleet during a trial.
@@ -990,7 +989,9 @@
         List<Object> sick = Slice.worst(theirs, Outcome::error);
         sick = sick.subList(0, sick.isEmpty() || !(sick.get(0) instanceof Unit) ? 0
             : (int) Math.ceil(sick.size() * SICK_PART));
-        double errorBar = Math.max(ERROR_BAR, Math.max(margin, MARGIN) * Bootstrap.share(Slice.counts(Slice.without(theirs, sick)), once));
+        double least = margin > MARGIN ? margin * ERROR_BAR : ERROR_BAR;
+        double errorBar = Math.max(least, Math.max(margin, MARGIN)
+            * Bootstrap.share(Slice.counts(Slice.without(theirs, sick)), once));
         long[][] counts = Slice.counts(mine);
         double[] errors = interval(mine, stretch, times -> Bootstrap.share(counts, times));
         boolean enough = mine.size() >= FEWEST_SLICES;
