--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -32,13 +32,12 @@
     private static final double ERROR_BAR = 0.02;
     /** Page: latency counts from units older than this, or than the time in which they are surely warm. */
     private static final long WARM_UP_US = 3 * SECOND;
-    /** A close call holds this long past the least time, longer if all but few units fail. */
+    /** A close call holds so long past the least time; the page's 3 s if few units fail or counts decide. */
     private static final long PATIENCE_US = SECOND;
-    private static final long SUSPECT_US = 3 * SECOND;
+    private static final long LONG_PATIENCE_US = 3 * SECOND;
     /** Where a clock moves stages on, a hold is cast this long before its time is up. */
     private static final long HOLD_LEAD_US = SECOND;
-    /** The desk's counts: a stage lasts this long for them to come, and where they decide like load is unknown. */
-    private static final long COUNTS_US = 4 * SECOND;
+    /** Where the desk's counts decide, like load is unknown. */
     private static final double COUNTS_MARGIN = 2;
     /** The interval: draws, and the share left out at either end (95%). */
     private static final int DRAWS = 200;
@@ -87,7 +86,7 @@
     /** Of that room, the least valuable reqs may use this much. */
     private static final double ROOM_FOR_LEAST = 0.5;
     /** Work of one place that a trial or cold unit may be sent, by what it surely can do; part of the rule's multiple. */
-    private static final double TRIAL_TIMES = 1.7;
+    private static final double TRIAL_TIMES = 1.5;
     private static final double COLD_PART = 0.75;
     /** Such budgets never save up more than this time's, and one req. */
     private static final double SAVED_US = SECOND / 4.0;
@@ -857,9 +856,8 @@
         } else if (finding == Finding.PASS) {
             verdict = nowUs < least ? Verdict.NONE : Verdict.ON;
         } else {
-            long waitUs = finding == Finding.SUSPECT ? SUSPECT_US : PATIENCE_US;
-            waitUs = few(trial) && charter.rollout().counts()
-                ? Math.max(waitUs, COUNTS_US - charter.rollout().leastUs()) : waitUs;
+            boolean late = few(trial) && charter.rollout().counts();
+            long waitUs = finding == Finding.SUSPECT || late ? LONG_PATIENCE_US : PATIENCE_US;
             verdict = nowUs < least + waitUs ? Verdict.HOLD : Verdict.ON;
         }
         boolean clock = charter.rollout().gatekeeping() == Gatekeeping.CLOCK;
