--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -19,8 +19,7 @@
 
     // ---- Tuned values ----
     private static final long SECOND = 1_000_000;
-    /** Silence is looked for and the verdict is drawn this often. */
-    private static final long BEAT_US = SECOND / 4;
+    private static final long BEAT_US = SECOND / 4; // overdue tries are looked for, a verdict is drawn
 
     /** Page (what its page gives): outcomes in slices of this length; with fewer on trial no verdict. */
     private static final long SLICE_US = SECOND;
@@ -28,6 +27,7 @@
     /** Page: both bars. Ours: 1.5 between builds, as units of one kind differ by a fifth. */
     private static final double PERCENTILE = 0.9;
     private static final double FLEET_MARGIN = 1.25;
+    private static final double MORE_WORK = 1.2; // the fleet against itself only while no more work comes
     private static final double MARGIN = 1.5;
     private static final double ERROR_BAR = 0.02;
     /** Page: latency counts from units older than this, or than the time in which they are surely warm. */
@@ -35,28 +35,22 @@
     /** A close call holds so long past the least time; the page's 3 s if few units fail or counts decide. */
     private static final long PATIENCE_US = SECOND;
     private static final long LONG_PATIENCE_US = 3 * SECOND;
-    /** Where a clock moves stages on, a hold is cast this long before its time is up. */
-    private static final long HOLD_LEAD_US = SECOND;
-    /** Where the desk's counts decide, like load is unknown. */
-    private static final double COUNTS_MARGIN = 2;
+    private static final long HOLD_LEAD_US = SECOND; // where a clock moves stages: a hold, before time is up
+    private static final double COUNTS_MARGIN = 2; // where the desk's counts decide, as like load is unknown
     /** The interval: draws, and the share left out at either end (95%). */
     private static final int DRAWS = 200;
     private static final double TAIL = 0.025;
     private static final double TAIL_WIDTH = 1.96;
-    /** All relays together send a good build back by chance in this share of looks. */
-    private static final double FALSE_BACKS = 0.05;
+    private static final double FALSE_BACKS = 0.05; // share of looks in which relays go wrong together
     /** Slices weighed of the trial and of the earlier build: few enough to notice a late change. */
     private static final int TRIAL_SLICES = 8;
     private static final int EARLIER_SLICES = 20;
-    /** A confident fail needs this many slices: two can't show a spread. */
-    private static final int FEWEST_SLICES = 3;
+    private static final int FEWEST_SLICES = 3; // for a confident fail: two can't show a spread
     /** A confident fail must last this long before it votes back: one look in many fails by chance. */
     private static final long CONFIRM_ERRORS_US = 3 * SECOND / 2;
     private static final long CONFIRM_SLOW_US = 3 * SECOND;
-    /** Like load: steps of one req in flight; half of FEWEST makes a figure. */
-    private static final int LOAD_STEPS = 24;
-    /** What few reqs show of a unit or route is drawn to what all show, which weighs as much as so many. */
-    private static final double PRIOR = 4;
+    private static final int LOAD_STEPS = 24; // like load: steps of one req in flight
+    private static final double PRIOR = 4; // few outcomes are drawn to what all show, which weighs as so many
     /** Troubles strike at most this share of the units with errors, and of those with slowness. */
     private static final double SICK_PART = 0.25;
     private static final double SLOW_PART = 0.5;
@@ -75,36 +69,28 @@
     private static final double LONGEST = 4;
     private static final double RATE_MEMORY_US = 3.0 * SECOND;
     private static final double WORK_MEMORY_US = 6.0 * SECOND;
-    /** In flight: measured rate x this share of the objective, and at one unit so many, over all units this
-     * relay's share of so many for each. */
+    /** In flight: measured rate x share of the objective; floors at one unit, and for all relays a unit. */
     private static final double OBJECTIVE_SHARE = 0.4;
     private static final double INFLIGHT_FLOOR = 2;
     private static final double FLEET_FLOOR = 6;
     /** So many times more at most, while answers take less than this share of the objective. */
     private static final double QUICK_TIMES = 3;
     private static final double QUICK_SHARE = 0.7;
-    /** Of that room, the least valuable reqs may use this much. */
-    private static final double ROOM_FOR_LEAST = 0.5;
-    /** Work of one place that a trial or cold unit may be sent, by what it surely can do; part of the rule's multiple. */
+    private static final double ROOM_FOR_LEAST = 0.5; // of that room, what the least valuable reqs may use
+    /** Work of one place that a trial unit may be sent; of a cold one's rule, by what it surely can do. */
     private static final double TRIAL_TIMES = 1.5;
     private static final double COLD_PART = 0.75;
-    /** Such budgets never save up more than this time's, and one req. */
-    private static final double SAVED_US = SECOND / 4.0;
-    /** Where nothing was completed of late, this part of the work taken stands for it. */
-    private static final double TAKEN_PART = 0.25;
+    private static final double SAVED_US = SECOND / 4.0; // the most time's worth that such a budget saves up
+    private static final double TAKEN_PART = 0.25; // of work taken, where less was completed of late
     /** A try is overdue after this long plus a multiple of what its work usually takes. */
     private static final long OVERDUE_US = 300_000;
     private static final double OVERDUE_TIMES = 3;
-    /** The relay itself stood still if no call came for so long; two beats are less. */
-    private static final long STOOD_US = 600_000;
-    /** Out of use: this share of errors among its latest outcomes, set against one more that is good. */
-    private static final double SICK_ERRORS = 0.35;
-    /** A unit out of use is still tried with this share of the retriable reqs that would have come to it. */
-    private static final double TRY_BAD = 0.1;
-    /** If more than this share of all units look bad, the units are not the cause. */
-    private static final double MOST = 0.6;
-
-    /** A route is hopeless if it misses its objective and needs so many times what another does; its room then. */
+    private static final long STOOD_US = 600_000; // the relay itself stood still: no call, for two beats
+    private static final double SICK_ERRORS = 0.35; // out of use: of a unit's late outcomes and one good one
+    private static final double TRY_BAD = 0.1; // of its retriable reqs, still sent to a unit out of use
+    private static final double MOST = 0.6; // if more units look bad, the units are not the cause
+
+    /** A route is odd if it needs so many times what another does; its part of the room if it is late too. */
     private static final double ODD_TIMES = 2.5;
     private static final double HOPELESS_PART = 0.15;
     /** Connections are few if more than this share of connects fail; one stands if used this long ago. */
@@ -112,8 +98,7 @@
     private static final long OPEN_US = SECOND / 4;
 
     private static final double RETRY_SHARE = 0.1;
-    /** A further try after a failed connect costs this part of one: no unit has worked for it. */
-    private static final double RECONNECT = 0.2;
+    private static final double RECONNECT = 0.2; // cost of a try after a failed connect: no unit has worked
     private static final double RETRY_BURST = 5;
     private static final long SHED_PAUSE_US = 500_000;
     private static final long ASK_AGAIN_US = 300_000;
@@ -135,6 +120,8 @@
     private final Fading answers = new Fading(RATE_MEMORY_US);
     private final Fading done = new Fading(WORK_MEMORY_US);
     private final Fading taken = new Fading(WORK_MEMORY_US);
+    private double takenBefore;
+    private long startUs;
     private final TreeMap<Integer, Fading> slowByKind = new TreeMap<>();
     private final Fading slowOfAll = new Fading(SPEED_MEMORY_US);
     private int places = 1;
@@ -170,7 +157,6 @@
     private long weighedUs;
     private String ground = "";
     private final double stretch;
-    private final double voices;
     private final double topValue;
     private final long myTurnUs;
     private long verdictUs;
@@ -186,9 +172,8 @@
         this.routeInFlight = new int[charter.routes().size()];
         this.routeSlow = new Fading[charter.routes().size()];
         Arrays.setAll(routeSlow, i -> new Fading(WORK_MEMORY_US));
-        this.voices = Math.max(1, Math.min(charter.rollout().backVotes(), charter.relays()));
         this.topValue = charter.routes().stream().mapToDouble(Route::value).filter(v -> v > 0).max().orElse(1);
-        this.stretch = stretch(charter.relays(), voices);
+        this.stretch = stretch(charter.relays(), Math.max(1, charter.rollout().backVotes()));
         double spreadS = charter.relays() / Math.max(0.1, charter.rollout().votesPerS()) - 1;
         this.myTurnUs = (long) (chance.nextDouble() * Math.max(0, spreadS) * SECOND);
         Arrays.setAll(cost, i -> new Fading(20.0 * SECOND));
@@ -212,6 +197,7 @@
     @Override
     public void start(long nowUs) {
         clock(nowUs);
+        startUs = nowUs;
         out.timer(BEAT_US, BEAT);
         if (charter.mustAskForList()) {
             out.followList();
@@ -254,8 +240,8 @@
             if (u == null || u.at.startUs() != l.startUs() || u.build.number != l.build()) {
                 // A restarted or re-used id is a new unit: nothing of its past holds.
                 if (!builds.containsKey(l.build())) {
-                    builds.values().forEach(b -> b.own.keep());
-                    builds.values().forEach(b -> b.counts.keep());
+                    builds.values().forEach(b -> b.keep());
+                    takenBefore = takenWork();
                 }
                 u = new Unit(l, builds.computeIfAbsent(l.build(), Build::new));
                 units.put(l.unit(), u);
@@ -597,6 +583,11 @@
             return best;
         }
 
+        private void keep() {
+            own.keep();
+            counts.keep();
+        }
+
         private void record(Unit unit, boolean failed, double slowness, double load) {
             long ageUs = unit.at.startUs() > 0 ? nowUs - unit.at.startUs() : Long.MAX_VALUE;
             own.add(nowUs / SLICE_US, new Outcome(unit, unit.at.kind(), failed, slowness, load, ageUs));
@@ -821,6 +812,11 @@
         return own == null ? all : (own.sum(nowUs) + all) / (own.count(nowUs) + 1);
     }
 
+    /** Work taken of late, as it would be had the relay always run. */
+    private double takenWork() {
+        return taken.sum(nowUs) / (1 - Math.exp((startUs - nowUs - 1) / WORK_MEMORY_US));
+    }
+
     /** Announced work of a req, on average of late. */
     private double meanCost() {
         return cost[cost.length - 1].mean(nowUs, SECOND / 5.0);
@@ -842,7 +838,7 @@
         failedUs = finding == Finding.PASS ? 0 : Math.max(0, failedUs + (fails ? sinceUs : -sinceUs));
         weighedUs = nowUs;
         long confirmUs = finding == Finding.ERRORS ? CONFIRM_ERRORS_US : CONFIRM_SLOW_US;
-        boolean sure = fails && failedUs >= confirmUs / Math.sqrt(voices);
+        boolean sure = fails && failedUs >= confirmUs;
         if (phase == Phase.RELEASED) {
             // Released: the earlier build's machines leave, so nothing shows like load; only errors count.
             boolean bad = sure && finding == Finding.ERRORS && nowUs - stageFromUs < WATCH_US;
@@ -917,31 +913,32 @@
         if (earlier == null) {
             return Finding.NO_VERDICT;
         }
-        int fewest = Math.max(FEWEST / 2, (int) (FEWEST / Math.sqrt(voices)));
-        Finding found = compare(trial, trial.own, earlier.own, earlier.own.all(), MARGIN, FLEET_MARGIN, stretch,
-            fewest);
+        Finding found = compare(trial, trial.own, earlier.own, earlier.own.all(), MARGIN, FLEET_MARGIN, stretch);
         if (found == Finding.SLOW || found == Finding.ERRORS || !few(trial)) {
             return found;
         }
         List<Slice> now = earlier.counts.from(weighedFrom());
         return compare(trial, trial.counts, earlier.counts, Slice.seen(now) >= FEWEST ? now : earlier.counts.all(),
-            COUNTS_MARGIN, COUNTS_MARGIN, 1, FEWEST);
+            COUNTS_MARGIN, MARGIN, 1);
     }
 
-    /** How many times as wide an interval must be, for so many voices of all relays to fail together by chance. */
-    private static double stretch(int relays, double voices) {
-        double logWays = 0;
-        for (int i = 0; i < voices; i++) {
-            logWays += Math.log((relays - i) / (i + 1.0));
+    /**
+     * How many times as wide an interval must be, for so many voices of all relays to fail together by chance;
+     * never less, as what strikes the fleet misleads all alike.
+     */
+    private static double stretch(int relays, int voices) {
+        double logP = Math.log(FALSE_BACKS);
+        for (int i = 0; i < Math.min(voices, relays); i++) {
+            logP -= Math.log((relays - i) / (i + 1.0));
         }
-        return relays == 1 ? 1 : Bootstrap.normalWidth((Math.log(FALSE_BACKS) - logWays) / voices) / TAIL_WIDTH;
+        return Math.max(1, Bootstrap.normalWidth(logP / voices) / TAIL_WIDTH);
     }
 
     /** Intervals of the trial's errors and percentile against the bars, and what else could lie behind a fail. */
     private Finding compare(Build trial, Ledger its, Ledger earlier, List<Slice> theirs, double margin,
-                            double fleet, double stretch, int fewest) {
+                            double fleet, double stretch) {
         List<Slice> mine = its.from(weighedFrom());
-        Finding found = compare(mine, theirs, margin, stretch, fewest);
+        Finding found = compare(mine, theirs, margin, stretch, FEWEST);
         boolean slow = found == Finding.SLOW;
         if ((slow || found == Finding.ERRORS) && its == trial.counts) {
             return found;
@@ -957,12 +954,16 @@
             long asOldUs = SECOND + trial.ready.stream().filter(odd::contains)
                 .mapToLong(u -> u.at.startUs()).max().orElse(0);
             boolean alone = !slow && left.stream().noneMatch(u -> u.at.startUs() <= asOldUs);
-            boolean rest = alone || compare(Slice.without(mine, odd), theirs, MARGIN, stretch, fewest / 2) == found;
+            boolean rest = alone || compare(Slice.without(mine, odd), theirs, MARGIN, stretch, FEWEST / 2) == found;
             return rest ? found : Finding.SUSPECT;
         }
         // Guards against a build that slows old and new units alike, which the relative bar hides: all units
         // are set against what the earlier build needed before the trial, without the worse half of them, as
-        // other troubles spare some. Could harm when something else slows the whole fleet during a trial.
+        // other troubles spare some, and only if no more work comes than then. Could harm when something else
+        // slows the whole fleet during a trial.
+        if (takenWork() > MORE_WORK * takenBefore) {
+            return found;
+        }
         List<Slice> all = new ArrayList<>(mine);
         all.addAll(earlier.from(weighedFrom()));
         List<Object> units = Slice.worst(all, Outcome::slowness);
@@ -985,8 +986,8 @@
         Arrays.fill(once, 1);
         // What strikes both builds is not held against one; sick units of the earlier build are no excuse.
         List<Object> sick = Slice.worst(theirs, Outcome::error);
-        sick = sick.subList(0, sick.isEmpty() || !(sick.get(0) instanceof Unit) ? 0
-            : (int) Math.ceil(sick.size() * SICK_PART));
+        boolean known = Slice.seen(theirs) >= PRIOR * sick.size() && sick.get(0) instanceof Unit;
+        sick = sick.subList(0, known ? (int) Math.ceil(sick.size() * SICK_PART) : 0);
         double least = margin > MARGIN ? margin * ERROR_BAR : ERROR_BAR;
         double errorBar = Math.max(least, Math.max(margin, MARGIN)
             * Bootstrap.share(Slice.counts(Slice.without(theirs, sick)), once));
