--- /dev/null
+++ b/src/main/java/gatelock/decision/LikeLoad.java
@@ -0,0 +1,49 @@
+package gatelock.decision;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Mean times of outcomes by machine kind and by load, in steps of one. */
+final class LikeLoad {
+    private static final int ANY_KIND = -1;
+    private final int steps;
+    private final int fewest;
+    private final Map<Integer, double[][]> sums = new HashMap<>();
+
+    LikeLoad(List<Slice> slices, int steps, int fewest) {
+        this.steps = steps;
+        this.fewest = fewest;
+        for (Slice s : slices) {
+            for (Outcome o : s.outcomes()) {
+                for (int kind : new int[] {ANY_KIND, o.kind()}) {
+                    double[][] table = sums.computeIfAbsent(kind, k -> new double[2][steps]);
+                    table[0][step(o)] += o.failed() ? 0 : o.slowness();
+                    table[1][step(o)] += o.failed() ? 0 : 1;
+                }
+            }
+        }
+    }
+
+    /** The mean under about the load of this outcome, of its kind or else of any; NaN where too few are known. */
+    double usual(Outcome o) {
+        double own = usual(o.kind(), step(o));
+        return Double.isNaN(own) ? usual(ANY_KIND, step(o)) : own;
+    }
+
+    private int step(Outcome o) {
+        return Math.min(steps - 1, (int) o.load());
+    }
+
+    /** From one step below upwards, until enough are found. */
+    private double usual(int kind, int at) {
+        double sum = 0;
+        double n = 0;
+        double[][] table = sums.getOrDefault(kind, new double[2][steps]);
+        for (int i = Math.max(0, at - 1); i < steps && (n < fewest || i <= at + 1); i++) {
+            sum += table[0][i];
+            n += table[1][i];
+        }
+        return n < fewest ? Double.NaN : sum / n;
+    }
+}
--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -172,7 +172,7 @@
         this.routeInFlight = new int[charter.routes().size()];
         this.routeSlow = new Fading[charter.routes().size()];
         Arrays.setAll(routeSlow, i -> new Fading(WORK_MEMORY_US));
-        this.topValue = charter.routes().stream().mapToDouble(Route::value).filter(v -> v > 0).max().orElse(1);
+        this.topValue = charter.routes().stream().mapToDouble(Route::value).max().orElse(1);
         this.stretch = stretch(charter.relays(), Math.max(1, charter.rollout().backVotes()));
         double spreadS = charter.relays() / Math.max(0.1, charter.rollout().votesPerS()) - 1;
         this.myTurnUs = (long) (chance.nextDouble() * Math.max(0, spreadS) * SECOND);
@@ -453,12 +453,9 @@
             triesOut.remove(t);
             routeInFlight[routeNo]--;
             t.unit.ended(t, ending, tookUs, load);
-            if (over) {
-                return;
-            }
-            if (isOver || ending == Ending.COMPLETED) {
+            if (!over && (isOver || ending == Ending.COMPLETED)) {
                 finish();
-            } else if (nowUs >= endUs || outNow == 0) {
+            } else if (!over && (nowUs >= endUs || outNow == 0)) {
                 again();
             }
         }
@@ -476,7 +473,7 @@
 
         /** How much of a unit's room this req may use: by its value beside the most valuable. */
         private double claim() {
-            double value = route.value() / topValue;
+            double value = topValue > 0 ? route.value() / topValue : 1;
             if (tenant < tenantRate.length) {
                 double perS = tenantRate[tenant].count(nowUs) * SECOND / RATE_MEMORY_US;
                 if (perS * charter.relays() > charter.tenants().get(tenant).quotaPerS() * 1.1) {
@@ -558,10 +555,7 @@
             return number >= floor || withdrawn.contains(floor);
         }
 
-        /**
-         * Two random choices, the one with the shorter expected wait; a further unit is looked at only
-         * where one is refused.
-         */
+        /** Two random choices, the one with the shorter expected wait; more only where one is refused. */
         private Unit pick(Rq rq) {
             Unit best = null;
             double claim = rq.claim();
@@ -718,9 +712,8 @@
 
         /** The part of its capacity that a unit of this age surely has. */
         private double able() {
-            double from = charter.coldFrom();
             double warm = cold() ? Math.max(0.0, nowUs - at.startUs()) / charter.warmWithinUs() : 1;
-            return from + (1 - from) * warm;
+            return charter.coldFrom() + (1 - charter.coldFrom()) * warm;
         }
 
         /** In flight bounded by measured rate x time; cold or on trial by its budget too. */
@@ -730,10 +723,9 @@
         }
 
         /**
-         * Rule 4, for all relays together: each sends its own part of the work that one place bears, times
-         * what the unit surely can do at its age. The parts add up to no more than a multiple of what the
-         * fleet really completes, however many relays there are; one whose part is under a req at a time
-         * waits, from a start drawn by chance. A slow build's reqs cost as many times more.
+         * Rule 4, for all relays together: each sends its part of the work that one place bears, times what the
+         * unit surely can do at its age. The parts add up to a multiple of what the fleet completes; one that is
+         * under a req waits, from a start drawn by chance. A slow build's reqs cost as many times more.
          */
         private boolean inBudget() {
             double times = Math.min(TRIAL_TIMES, cold() ? COLD_PART * charter.coldMultiple() : TRIAL_TIMES);
@@ -763,7 +755,8 @@
 
     /**
      * Guards against one route that waits at every unit, whatever for: its reqs end too late, those of another
-     * route in time. It gets few places, as each holds one that others need. Could harm where a route's reqs are still of worth when late.
+     * route in time. It gets few places, as each holds one that others need. Could harm where a route's reqs
+     * are still of worth when late.
      */
     private boolean hopeless(int route) {
         return usualTook(route) > charter.routes().get(route).objectiveUs() && timesOthers(route) > 1;
@@ -922,10 +915,7 @@
             COUNTS_MARGIN, MARGIN, 1);
     }
 
-    /**
-     * How many times as wide an interval must be, for so many voices of all relays to fail together by chance;
-     * never less, as what strikes the fleet misleads all alike.
-     */
+    /** How much wider an interval must be as any of many voices may be wrong; what strikes all misleads all. */
     private static double stretch(int relays, int voices) {
         double logP = Math.log(FALSE_BACKS);
         for (int i = 0; i < Math.min(voices, relays); i++) {
@@ -940,10 +930,8 @@
         List<Slice> mine = its.from(weighedFrom());
         Finding found = compare(mine, theirs, margin, stretch, FEWEST);
         boolean slow = found == Finding.SLOW;
-        if ((slow || found == Finding.ERRORS) && its == trial.counts) {
-            return found;
-        }
-        if (slow || found == Finding.ERRORS) {
+        boolean fails = slow || found == Finding.ERRORS;
+        if (fails && its == trial.own) {
             // Guards against sick, slow or ill-placed units taken for a bad build: without its worst units
             // the build must fail all the same. Errors of its oldest units count alone: builds may turn bad
             // with age. Could harm where a build is bad on one kind of machine only.
@@ -961,7 +949,7 @@
         // are set against what the earlier build needed before the trial, without the worse half of them, as
         // other troubles spare some, and only if no more work comes than then. Could harm when something else
         // slows the whole fleet during a trial.
-        if (takenWork() > MORE_WORK * takenBefore) {
+        if (fails || takenWork() > MORE_WORK * takenBefore) {
             return found;
         }
         List<Slice> all = new ArrayList<>(mine);
@@ -969,11 +957,9 @@
         List<Object> units = Slice.worst(all, Outcome::slowness);
         String said = ground;
         List<Slice> best = Slice.without(all, units.subList(0, (int) (units.size() * SLOW_PART)));
-        if (compare(best, earlier.before(), fleet, stretch, FEWEST) == Finding.SLOW) {
-            return Finding.SLOW;
-        }
-        ground = said;
-        return found;
+        boolean allSlow = compare(best, earlier.before(), fleet, stretch, FEWEST) == Finding.SLOW;
+        ground = allSlow ? ground : said;
+        return allSlow ? Finding.SLOW : found;
     }
 
     private Finding compare(List<Slice> mine, List<Slice> theirs, double margin, double stretch, int fewest) {
@@ -998,9 +984,9 @@
         if (errors[0] > errorBar && enough) {
             return Finding.ERRORS;
         }
-        LikeLoad like = new LikeLoad(theirs);
-        double[][] there = like.against(theirs, false);
-        double[][] here = like.against(mine, true);
+        LikeLoad like = new LikeLoad(theirs, LOAD_STEPS, FEWEST / 2);
+        double[][] there = against(like, theirs, 0);
+        double[][] here = against(like, mine, Math.max(WARM_UP_US, charter.warmWithinUs()));
         if (here.length < fewest || there.length == 0) {
             return Finding.NO_VERDICT;
         }
@@ -1019,57 +1005,20 @@
     }
 
     /**
-     * What the earlier build usually needs under like load: by machine kind and reqs in flight at the unit.
-     * Where the earlier build never had as many there is no figure: a trial unit that the cap fills fuller
-     * than any other proves nothing by being slower.
+     * Rows {slowness against the usual under like load, slice}, highest first. Where the earlier build never
+     * had as many in flight there is none: a trial unit that the cap fills fuller proves nothing by that.
      */
-    private final class LikeLoad {
-        private static final int ANY_KIND = -1;
-        private final Map<Integer, double[][]> usual = new HashMap<>();
-
-        LikeLoad(List<Slice> slices) {
-            for (Slice s : slices) {
-                for (Outcome o : s.outcomes()) {
-                    for (int kind : new int[] {ANY_KIND, o.kind()}) {
-                        double[][] table = usual.computeIfAbsent(kind, k -> new double[2][LOAD_STEPS]);
-                        table[0][step(o)] += o.failed() ? 0 : o.slowness();
-                        table[1][step(o)] += o.failed() ? 0 : 1;
-                    }
-                }
-            }
-        }
-
-        private static int step(Outcome o) {
-            return Math.min(LOAD_STEPS - 1, (int) o.load());
-        }
-
-        private double usual(int kind, Outcome o) {
-            double sum = 0;
-            double n = 0;
-            int at = step(o);
-            double[][] table = usual.getOrDefault(kind, new double[2][LOAD_STEPS]);
-            for (int i = Math.max(0, at - 1); i < LOAD_STEPS && (n < FEWEST / 2 || i <= at + 1); i++) {
-                sum += table[0][i];
-                n += table[1][i];
-            }
-            return n < FEWEST / 2 ? Double.NaN : sum / n;
-        }
-
-        /** Rows {slowness against the usual, slice}, highest first, of all that has a like. */
-        double[][] against(List<Slice> slices, boolean warmOnly) {
-            List<double[]> rows = new ArrayList<>();
-            long warmUs = warmOnly ? Math.max(WARM_UP_US, charter.warmWithinUs()) : 0;
-            for (int i = 0; i < slices.size(); i++) {
-                for (Outcome o : slices.get(i).outcomes()) {
-                    double usual = usual(o.kind(), o);
-                    usual = Double.isNaN(usual) ? usual(ANY_KIND, o) : usual;
-                    if (!o.failed() && !Double.isNaN(usual) && o.ageUs() > warmUs) {
-                        rows.add(new double[] {o.slowness() / usual, i});
-                    }
+    private double[][] against(LikeLoad like, List<Slice> slices, long warmUs) {
+        List<double[]> rows = new ArrayList<>();
+        for (int i = 0; i < slices.size(); i++) {
+            for (Outcome o : slices.get(i).outcomes()) {
+                double usual = like.usual(o);
+                if (!o.failed() && !Double.isNaN(usual) && o.ageUs() > warmUs) {
+                    rows.add(new double[] {o.slowness() / usual, i});
                 }
             }
-            rows.sort((a, b) -> Double.compare(b[0], a[0]));
-            return rows.toArray(new double[0][]);
         }
+        rows.sort((a, b) -> Double.compare(b[0], a[0]));
+        return rows.toArray(new double[0][]);
     }
 }
