--- a/src/main/java/gatelock/bench/Fields.java
+++ b/src/main/java/gatelock/bench/Fields.java
@@ -65,7 +65,8 @@
 
     private int below(int codes, long value, String what) {
         if (value < 0 || value >= codes) {
-            throw new MalformedLine("expected " + what + " below " + codes + " in " + name + ", found " + value);
+            throw new MalformedLine("expected " + what + " below " + codes + " in " + name + ", found "
+                + value);
         }
         return (int) value;
     }
--- a/src/main/java/gatelock/bench/Terms.java
+++ b/src/main/java/gatelock/bench/Terms.java
@@ -46,14 +46,16 @@
             t.word("familyInfo.gateMode", Map.of("first_voice", Rollout.Gatekeeping.FIRST_VOICE,
                 "by_count", Rollout.Gatekeeping.COUNT, "automatic", Rollout.Gatekeeping.CLOCK),
                 Rollout.Gatekeeping.COUNT),
-            Math.max(t.us("familyInfo.bakeNs"), t.us("familyInfo.autoAfterNs")), t.us("familyInfo.voteLifeNs"), t.us("familyInfo.voteWaitNs"),
+            Math.max(t.us("familyInfo.bakeNs"), t.us("familyInfo.autoAfterNs")),
+            t.us("familyInfo.voteLifeNs"), t.us("familyInfo.voteWaitNs"),
             t.reals("familyInfo.exposureCaps"), (int) t.whole("familyInfo.guardedStages", 0),
             "each_class".equals(t.pairs.get("familyInfo.capScope")), t.yes("familyInfo.forwardOnly"),
-            t.real("familyInfo.free", 0), (int) t.whole("familyInfo.toAbort", 1), t.real("familyInfo.apiRate", 1),
-            t.whole("familyInfo.tallyNs", 0) > 0);
+            t.real("familyInfo.free", 0), (int) t.whole("familyInfo.toAbort", 1),
+            t.real("familyInfo.apiRate", 1), t.whole("familyInfo.tallyNs", 0) > 0);
         long warmNs = t.whole("safety.warmWithinNs", 0);
         return new Charter(seed, (int) t.whole("replicasOfMe", 1), routes, tenants,
-            t.real("overShareWorth", 1), (int) t.whole("limits.tryLimit", 1), t.yes("limits.mayCancel"), t.yes("limits.retryAfter"), t.us("limits.maxRetryAfterNs"),
+            t.real("overShareWorth", 1), (int) t.whole("limits.tryLimit", 1), t.yes("limits.mayCancel"),
+            t.yes("limits.retryAfter"), t.us("limits.maxRetryAfterNs"),
             "on_request".equals(t.pairs.get("discovery")), t.real("safety.coldFrom", 1),
             (warmNs + 999) / 1000, t.real("safety.overloadFactor", 1), t.us("safety.fallNs"), rollout);
     }
--- a/src/main/java/gatelock/bench/Wirehost.java
+++ b/src/main/java/gatelock/bench/Wirehost.java
@@ -65,7 +65,8 @@
 
         @Override
         public void send(String id, String unit, long timeoutUs) {
-            line("RELAY ").append(id).append(' ').append(unit).append(' ').append(timeoutUs * 1000).append('\n');
+            line("RELAY ").append(id).append(' ').append(unit).append(' ').append(timeoutUs * 1000)
+                .append('\n');
         }
 
         @Override
@@ -230,7 +231,8 @@
             case "SYNC" -> {
                 f.number("seqNo");
                 Gate.ListForm form = FORMS[f.code("form", FORMS.length)];
-                List<Listed> entries = form == Gate.ListForm.FAILED ? List.of() : lists.get(f.code("list", 16));
+                List<Listed> entries = form == Gate.ListForm.FAILED ? List.of()
+                    : lists.get(f.code("list", lists.size()));
                 relay.gate.listed(nowUs, form, entries);
             }
             case "STAGE" -> {
--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -6,7 +6,7 @@
 import java.util.*;
 import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
-import java.util.stream.IntStream;
+import java.util.stream.*;
 
 /**
  * THE module: every decision of one relay. It is called through {@link Gate} and {@link Handle} and calls out
@@ -80,6 +80,7 @@
     /** Work of one place that a trial unit may be sent; of a cold one's rule, by what it surely can do. */
     private static final double TRIAL_TIMES = 1.5;
     private static final double COLD_PART = 0.75;
+    private static final double TRIAL_WAIT = 2; // of the earlier build's time, in flight at a trial unit
     private static final double SAVED_US = SECOND / 4.0; // the most time's worth that such a budget saves up
     private static final double TAKEN_PART = 0.25; // of work taken, where less was completed of late
     /** A try is overdue after this long plus a multiple of what its work usually takes. */
@@ -240,7 +241,7 @@
             if (u == null || u.at.startUs() != l.startUs() || u.build.number != l.build()) {
                 // A restarted or re-used id is a new unit: nothing of its past holds.
                 if (!builds.containsKey(l.build())) {
-                    builds.values().forEach(b -> b.keep());
+                    builds.values().stream().flatMap(b -> Stream.of(b.own, b.counts)).forEach(Ledger::keep);
                     takenBefore = takenWork();
                 }
                 u = new Unit(l, builds.computeIfAbsent(l.build(), Build::new));
@@ -364,8 +365,8 @@
             boolean first = tries.isEmpty();
             // 1. First sends fill the cap of the build on trial.
             double most = claim() * mostInFlight(route);
-            boolean room = inFlight + chance.nextDouble() < most
-                && (!hopeless(routeNo) || routeInFlight[routeNo] + chance.nextDouble() < most * HOPELESS_PART);
+            boolean room = inFlight + chance.nextDouble() < most && (!hopeless(routeNo)
+                || routeInFlight[routeNo] + chance.nextDouble() < most * HOPELESS_PART);
             Unit unit = first && room ? choose(true) : null;
             // 2. The rest goes to the released build, and what it has no room for to those before it.
             unit = unit != null || !room ? unit : choose(false);
@@ -375,9 +376,7 @@
                 turnAway();
                 return;
             }
-            if (unit.build.onTrial()) {
-                unit.build.room[unit.build.slot(routeNo)] -= 1;
-            }
+            unit.build.room[unit.build.slot(routeNo)] -= unit.build.onTrial() ? 1 : 0;
             Try t = new Try(unit);
             tries.add(t);
             triesOut.add(t);
@@ -389,8 +388,9 @@
         }
 
         private Unit choose(boolean trial) {
-            return builds.descendingMap().values().stream().filter(b -> b.onTrial() == trial && b.mayTake(this))
-                .map(b -> b.pick(this)).filter(Objects::nonNull).findFirst().orElse(null);
+            return builds.descendingMap().values().stream()
+                .filter(b -> b.onTrial() == trial && b.mayTake(this)).map(b -> b.pick(this))
+                .filter(Objects::nonNull).findFirst().orElse(null);
         }
 
         /** Whether every try so far is proven not to have run. */
@@ -577,11 +577,6 @@
             return best;
         }
 
-        private void keep() {
-            own.keep();
-            counts.keep();
-        }
-
         private void record(Unit unit, boolean failed, double slowness, double load) {
             long ageUs = unit.at.startUs() > 0 ? nowUs - unit.at.startUs() : Long.MAX_VALUE;
             own.add(nowUs / SLICE_US, new Outcome(unit, unit.at.kind(), failed, slowness, load, ageUs));
@@ -674,10 +669,10 @@
         }
 
         /**
-         * Guards against a unit that stands still, has vanished, is slow, or loses this relay's tries, alone or
-         * not: a try that is long overdue. It holds no room any more and counts against the unit. If most units
-         * are well, what may run elsewhere is called off and goes on there, the rest waits out its time. Could
-         * harm where announced work says little of the time it takes.
+         * Guards against a unit that stands still, has vanished, is slow, or loses this relay's tries, alone
+         * or not: a try that is long overdue. It holds no room any more and counts against the unit. If most
+         * units are well, what may run elsewhere is called off and goes on there, the rest waits out its time.
+         * Could harm where announced work says little of the time it takes.
          */
         private void lookForOverdue(Rq.Try t) {
             double usual = Math.max(slowness.mean(nowUs, 0), usualSlowness(at.kind())) * t.rq.costUs;
@@ -688,8 +683,8 @@
             t.overdue = true;
             inFlight--;
             failures.add(nowUs, 1);
-            if (!t.rq.over && t.rq.route.repeat() != Route.Repeat.NON_RETRIABLE && charter.mayCancel() && someBad
-                    && retryTokens >= 1) {
+            if (!t.rq.over && t.rq.route.repeat() != Route.Repeat.NON_RETRIABLE && charter.mayCancel()
+                    && someBad && retryTokens >= 1) {
                 t.cancelled = true;
                 ReleaseGate.this.out.cancel(t.rq.id, t.number);
             }
@@ -716,16 +711,20 @@
             return charter.coldFrom() + (1 - charter.coldFrom()) * warm;
         }
 
-        /** In flight bounded by measured rate x time; cold or on trial by its budget too. */
+        /** In flight bounded by measured rate x time, on trial the earlier build's; then by its budget too. */
         private boolean hasRoom(Rq rq, double claim) {
-            double inTime = answers.count(nowUs) / RATE_MEMORY_US * rq.route.objectiveUs() * OBJECTIVE_SHARE;
-            return out.size() < (INFLIGHT_FLOOR + inTime) * claim && (!cold() && !build.onTrial() || inBudget());
+            double perUs = answers.count(nowUs) / RATE_MEMORY_US;
+            double most = (INFLIGHT_FLOOR + perUs * rq.route.objectiveUs() * OBJECTIVE_SHARE) * claim;
+            if (build.onTrial()) {
+                most = Math.min(most, 1 + perUs * TRIAL_WAIT * usualSlowness(at.kind()) * meanCost());
+            }
+            return out.size() < most && (!cold() && !build.onTrial() || inBudget());
         }
 
         /**
-         * Rule 4, for all relays together: each sends its part of the work that one place bears, times what the
-         * unit surely can do at its age. The parts add up to a multiple of what the fleet completes; one that is
-         * under a req waits, from a start drawn by chance. A slow build's reqs cost as many times more.
+         * Rule 4, for all relays together: each sends its part of the work that one place bears, times what
+         * the unit surely can do at its age. The parts add up to a multiple of what the fleet completes; one
+         * that is under a req waits, from a start drawn by chance. A slow build's reqs cost more.
          */
         private boolean inBudget() {
             double times = Math.min(TRIAL_TIMES, cold() ? COLD_PART * charter.coldMultiple() : TRIAL_TIMES);
@@ -754,9 +753,9 @@
     }
 
     /**
-     * Guards against one route that waits at every unit, whatever for: its reqs end too late, those of another
-     * route in time. It gets few places, as each holds one that others need. Could harm where a route's reqs
-     * are still of worth when late.
+     * Guards against one route that waits at every unit, whatever for: its reqs end too late, those of
+     * another in time. It gets few places, as each holds one that others need. Could harm where a route's
+     * reqs are still of worth when late.
      */
     private boolean hopeless(int route) {
         return usualTook(route) > charter.routes().get(route).objectiveUs() && timesOthers(route) > 1;
@@ -789,8 +788,8 @@
             .mapToDouble(r -> usualTook(r) / charter.routes().get(r).objectiveUs()).min().orElse(0);
         double quick = Math.max(1, Math.min(QUICK_TIMES, QUICK_SHARE / took));
         double backlog = nowUs - stoodUs < SECOND ? perUs * stoodForUs : 0;
-        return quick * (FLEET_FLOOR * places / charter.relays() + perUs * route.objectiveUs() * OBJECTIVE_SHARE)
-            + backlog;
+        double inTime = perUs * route.objectiveUs() * OBJECTIVE_SHARE;
+        return quick * (FLEET_FLOOR * places / charter.relays() + inTime) + backlog;
     }
 
     /** Work this relay completes for each of the fleet's places, in microseconds of work per microsecond. */
@@ -805,7 +804,6 @@
         return own == null ? all : (own.sum(nowUs) + all) / (own.count(nowUs) + 1);
     }
 
-    /** Work taken of late, as it would be had the relay always run. */
     private double takenWork() {
         return taken.sum(nowUs) / (1 - Math.exp((startUs - nowUs - 1) / WORK_MEMORY_US));
     }
@@ -879,7 +877,8 @@
         if (said || waiting || nowUs < Math.max(voteNotBeforeUs, verdictUs + myTurnUs)) {
             return;
         }
-        if (verdict == Verdict.BACK || verdict != stands && chance.nextInt(charter.relays()) < VOICES_LOGGED) {
+        boolean logged = verdict != stands && chance.nextInt(charter.relays()) < VOICES_LOGGED;
+        if (logged || verdict == Verdict.BACK) {
             out.say(verdict + " build " + newest + " stage " + stage + ": " + ground);
         }
         stands = verdict;
@@ -906,16 +905,17 @@
         if (earlier == null) {
             return Finding.NO_VERDICT;
         }
-        Finding found = compare(trial, trial.own, earlier.own, earlier.own.all(), MARGIN, FLEET_MARGIN, stretch);
+        Finding found = compare(trial, trial.own, earlier.own, earlier.own.all(), MARGIN, FLEET_MARGIN,
+            stretch);
         if (found == Finding.SLOW || found == Finding.ERRORS || !few(trial)) {
             return found;
         }
         List<Slice> now = earlier.counts.from(weighedFrom());
-        return compare(trial, trial.counts, earlier.counts, Slice.seen(now) >= FEWEST ? now : earlier.counts.all(),
-            COUNTS_MARGIN, MARGIN, 1);
+        now = Slice.seen(now) >= FEWEST ? now : earlier.counts.all();
+        return compare(trial, trial.counts, earlier.counts, now, COUNTS_MARGIN, MARGIN, 1);
     }
 
-    /** How much wider an interval must be as any of many voices may be wrong; what strikes all misleads all. */
+    /** How much wider an interval must be, as any of many voices may be wrong. */
     private static double stretch(int relays, int voices) {
         double logP = Math.log(FALSE_BACKS);
         for (int i = 0; i < Math.min(voices, relays); i++) {
@@ -924,7 +924,7 @@
         return Math.max(1, Bootstrap.normalWidth(logP / voices) / TAIL_WIDTH);
     }
 
-    /** Intervals of the trial's errors and percentile against the bars, and what else could lie behind a fail. */
+    /** Intervals of the trial's errors and percentile against the bars, and what else lies behind a fail. */
     private Finding compare(Build trial, Ledger its, Ledger earlier, List<Slice> theirs, double margin,
                             double fleet, double stretch) {
         List<Slice> mine = its.from(weighedFrom());
@@ -942,14 +942,15 @@
             long asOldUs = SECOND + trial.ready.stream().filter(odd::contains)
                 .mapToLong(u -> u.at.startUs()).max().orElse(0);
             boolean alone = !slow && left.stream().noneMatch(u -> u.at.startUs() <= asOldUs);
-            boolean rest = alone || compare(Slice.without(mine, odd), theirs, MARGIN, stretch, FEWEST / 2) == found;
+            boolean rest = alone
+                || compare(Slice.without(mine, odd), theirs, MARGIN, stretch, FEWEST / 2) == found;
             return rest ? found : Finding.SUSPECT;
         }
         // Guards against a build that slows old and new units alike, which the relative bar hides: all units
         // are set against what the earlier build needed before the trial, without the worse half of them, as
-        // other troubles spare some, and only if no more work comes than then. Could harm when something else
-        // slows the whole fleet during a trial.
-        if (fails || takenWork() > MORE_WORK * takenBefore) {
+        // other troubles spare some; with many relays, whose like load is a guess, only if no more work comes
+        // than then. Could harm when something else slows the whole fleet during a trial.
+        if (fails || charter.relays() > FEW_RELAYS && takenWork() > MORE_WORK * takenBefore) {
             return found;
         }
         List<Slice> all = new ArrayList<>(mine);
@@ -972,7 +973,8 @@
         Arrays.fill(once, 1);
         // What strikes both builds is not held against one; sick units of the earlier build are no excuse.
         List<Object> sick = Slice.worst(theirs, Outcome::error);
-        boolean known = Slice.seen(theirs) >= PRIOR * sick.size() && sick.get(0) instanceof Unit;
+        boolean known = !theirs.isEmpty() && sick.get(0) instanceof Unit
+            && Slice.seen(theirs) >= PRIOR * sick.size();
         sick = sick.subList(0, known ? (int) Math.ceil(sick.size() * SICK_PART) : 0);
         double least = margin > MARGIN ? margin * ERROR_BAR : ERROR_BAR;
         double errorBar = Math.max(least, Math.max(margin, MARGIN)
