--- a/src/test/java/gatelock/ScenariosTest.java
+++ b/src/test/java/gatelock/ScenariosTest.java
@@ -95,6 +95,10 @@
                 case "end" -> end(w[1], Ending.valueOf(w[2].toUpperCase()), named);
                 case "unit" -> manners.computeIfAbsent(w[1], u -> new HashMap<>()).putAll(named);
                 case "flow" -> flow(named);
+                case "stand" -> {
+                    nowUs += us(w[1]);
+                    runTo(nowUs);
+                }
                 case "counted" -> gate().counted(nowUs, (int) num(named, "build", 2), 0, (int) num(named, "count", 20),
                     (int) num(named, "failed", 0), us(named.getOrDefault("mean", "100ms")), 0);
                 case "complaint" -> gate().complaint(nowUs, w[1], 0, us(named.getOrDefault("ago", "0s")));
@@ -120,6 +124,7 @@
                 case "no-vote" -> assertThat(votes).as(where).doesNotContain(Verdict.valueOf(w[2].toUpperCase()));
                 case "votes" -> within(votes.size(), named, where);
                 case "cancelled" -> assertThat(cancels).as(where).contains(w[2]);
+                case "cancels" -> within(cancels.size(), named, where);
                 case "follows" -> within(follows, named, where);
                 case "share" -> {
                     double there = sends.stream().filter(s -> matches(s.unit, w[2])).count();
@@ -203,7 +208,7 @@
             gate();
             while (!dues.isEmpty() && dues.peek().atUs <= toUs) {
                 Due due = dues.poll();
-                nowUs = due.atUs;
+                nowUs = Math.max(nowUs, due.atUs);
                 due.what.run();
             }
             nowUs = toUs;
