--- a/src/main/java/gatelock/decision/LikeLoad.java
+++ b/src/main/java/gatelock/decision/LikeLoad.java
@@ -25,7 +25,7 @@
         }
     }
 
-    /** The mean under about the load of this outcome, of its kind or else of any; NaN where too few are known. */
+    /** The mean under about this outcome's load, of its kind or else of any; NaN where too few are known. */
     double usual(Outcome o) {
         double own = usual(o.kind(), step(o));
         return Double.isNaN(own) ? usual(ANY_KIND, step(o)) : own;
--- a/src/main/java/gatelock/decision/Outcome.java
+++ b/src/main/java/gatelock/decision/Outcome.java
@@ -1,8 +1,8 @@
 package gatelock.decision;
 
 /**
- * How one try ended: its unit and machine kind, whether it failed, its time per announced work, the load it met
- * and the unit's age.
+ * How one try ended: its unit and machine kind, whether it failed, its time per announced work, the load it
+ * met and the unit's age.
  */
 record Outcome(Object unit, int kind, boolean failed, double slowness, double load, long ageUs) {
 
--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -303,7 +303,7 @@
             long age = b.ready.stream().map(u -> endUs - u.at.startUs()).sorted().skip(b.ready.size() / 2)
                 .findFirst().orElse(0L);
             // They stand as outcomes of one unit a route, each route a kind of its own.
-            // The desk tells no try without an answer from an error; this relay's own endings do.
+            // The desk tells no try without an answer or a connection from an error; own endings do.
             List<Outcome> cell = new ArrayList<>(count);
             for (int i = 0; i < count; i++) {
                 if (i >= failed || chance.nextDouble() < heard.mean(nowUs, 1)) {
@@ -649,8 +649,9 @@
             }
             // A try without an answer counts as a very slow one, not as an error: load alone can cause it.
             boolean unheard = ending == Ending.TIMED_OUT || ending == Ending.CANCELLED;
+            boolean noError = unheard || ending == Ending.NOT_CONNECTED && connectionsAreFew();
             if (ending != Ending.COMPLETED) {
-                heard.add(nowUs, unheard ? 0 : 1);
+                heard.add(nowUs, noError ? 0 : 1);
             }
             if (!build.onTrial() && stoodUs != nowUs && (unheard || ending == Ending.COMPLETED)) {
                 routeSlow[t.rq.routeNo].add(nowUs, (double) tookUs / t.rq.costUs);
@@ -671,7 +672,7 @@
         /**
          * Guards against a unit that stands still, has vanished, is slow, or loses this relay's tries, alone
          * or not: a try that is long overdue. It holds no room any more and counts against the unit. If most
-         * units are well, what may run elsewhere is called off and goes on there, the rest waits out its time.
+         * units are well, what may run elsewhere is called off and goes on there; the rest waits.
          * Could harm where announced work says little of the time it takes.
          */
         private void lookForOverdue(Rq.Try t) {
@@ -711,7 +712,7 @@
             return charter.coldFrom() + (1 - charter.coldFrom()) * warm;
         }
 
-        /** In flight bounded by measured rate x time, on trial the earlier build's; then by its budget too. */
+        /** In flight bounded by measured rate x time, on trial the earlier build's, and by its budget. */
         private boolean hasRoom(Rq rq, double claim) {
             double perUs = answers.count(nowUs) / RATE_MEMORY_US;
             double most = (INFLIGHT_FLOOR + perUs * rq.route.objectiveUs() * OBJECTIVE_SHARE) * claim;
--- a/src/main/java/gatelock/relay/Gate.java
+++ b/src/main/java/gatelock/relay/Gate.java
@@ -3,12 +3,12 @@
 import java.util.List;
 
 /**
- * One relay's decisions. A relay calls this from one thread with its own clock, which never goes back; each call
- * may answer through the {@link Outlet} it was built with, before it returns.
+ * One relay's decisions. A relay calls this from one thread with its own clock, which never goes back; each
+ * call may answer through the {@link Outlet} it was built with, before it returns.
  */
 public interface Gate {
 
-    /** What a list of units is: what changed, all there is, a remembered whole, or the notice that none came. */
+    /** What a list of units is: what changed, all there is, a remembered whole, or notice that none came. */
     enum ListForm { DELTA, FULL, CACHED, FAILED }
 
     /** The state of the newest build at the release desk. */
@@ -43,8 +43,8 @@
     void complaint(long nowUs, String unit, int route, long agoUs);
 
     /**
-     * The release desk's sample of all relays' tries at a build on one route, over a span that ended {@code agoUs}
-     * ago: how many, how many of them failed, and the mean time of the rest.
+     * The release desk's sample of all relays' tries at a build on one route, over a span that ended
+     * {@code agoUs} ago: how many, how many of them failed, and the mean time of the rest.
      */
     void counted(long nowUs, int build, int route, int count, int failed, long meanUs, long agoUs);
 
--- a/src/main/java/gatelock/relay/Handle.java
+++ b/src/main/java/gatelock/relay/Handle.java
@@ -11,7 +11,7 @@
      */
     void ended(long nowUs, int tryNo, Ending ending, long tookUs, boolean over, Load load);
 
-    /** The relay owes no answer any more: the client has left, or the answer's head came and a stream runs. */
+    /** The relay owes no answer any more: the client has left, or the answer's head came as a stream. */
     void concluded(long nowUs);
 
     /** Whether nothing more can happen to the req, so that the caller may forget it. */
