--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -75,7 +75,7 @@
     private static final double FLEET_FLOOR = 6;
     /** So many times more at most, while answers take less than this share of the objective. */
     private static final double QUICK_TIMES = 3;
-    private static final double QUICK_SHARE = 0.7;
+    private static final double QUICK_SHARE = 0.55;
     private static final double ROOM_FOR_LEAST = 0.5; // of that room, what the least valuable reqs may use
     /** Work of one place that a trial unit may be sent; of a cold one's rule, by what it surely can do. */
     private static final double TRIAL_TIMES = 1.5;
