--- a/src/main/java/gatelock/decision/Ledger.java
+++ b/src/main/java/gatelock/decision/Ledger.java
@@ -41,6 +41,11 @@
         return List.copyOf(slices);
     }
 
+    /** The number of the latest slice, 0 where there is none. */
+    long last() {
+        return slices.isEmpty() ? 0 : slices.peekLast().number();
+    }
+
     /** The slices with this number and later ones. */
     List<Slice> from(long number) {
         return slices.stream().filter(s -> s.number() >= number).toList();
--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -911,9 +911,9 @@
         if (found == Finding.SLOW || found == Finding.ERRORS || !few(trial)) {
             return found;
         }
-        List<Slice> now = earlier.counts.from(weighedFrom());
-        now = Slice.seen(now) >= FEWEST ? now : earlier.counts.all();
-        return compare(trial, trial.counts, earlier.counts, now, COUNTS_MARGIN, MARGIN, 1);
+        // Set against the last that the earlier build had, as a trouble of both may have begun only then.
+        List<Slice> last = earlier.counts.from(earlier.counts.last() - TRIAL_SLICES + 1);
+        return compare(trial, trial.counts, earlier.counts, last, COUNTS_MARGIN, MARGIN, 1);
     }
 
     /** How much wider an interval must be, as any of many voices may be wrong. */
