--- a/src/main/java/gatelock/decision/Fading.java
+++ b/src/main/java/gatelock/decision/Fading.java
@@ -38,4 +38,10 @@
         fade(nowUs);
         return count >= 0.5 ? sum / count : otherwise;
     }
+
+    /** The mean, drawn to a figure that weighs as much as so many values. */
+    double drawn(long nowUs, double towards, double weight) {
+        fade(nowUs);
+        return (sum + weight * towards) / (count + weight);
+    }
 }
--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -363,10 +363,10 @@
         /** The ordinary path, for a first try and for any further one. */
         private void place() {
             boolean first = tries.isEmpty();
-            // 1. First sends fill the cap of the build on trial.
             double most = claim() * mostInFlight(route);
             boolean room = inFlight + chance.nextDouble() < most && (!hopeless(routeNo)
                 || routeInFlight[routeNo] + chance.nextDouble() < most * HOPELESS_PART);
+            // 1. First sends fill the cap of the build on trial.
             Unit unit = first && room ? choose(true) : null;
             // 2. The rest goes to the released build, and what it has no room for to those before it.
             unit = unit != null || !room ? unit : choose(false);
@@ -395,7 +395,7 @@
 
         /** Whether every try so far is proven not to have run. */
         private boolean neverRan() {
-            return tries.stream().allMatch(t -> t.ending != null && t.ending.neverRan);
+            return tries.stream().allMatch(Try::neverRan);
         }
 
         /** Rule 2: whether a further try may go to this unit. */
@@ -406,7 +406,7 @@
             if (route.repeat() == Route.Repeat.NON_RETRIABLE) {
                 return false;
             }
-            return tries.stream().allMatch(t -> t.ending != null && t.ending.neverRan
+            return tries.stream().allMatch(t -> t.neverRan()
                 || nowUs - t.sentUs < route.rememberUs() * 8 / 10 && switch (route.group()) {
                     case ALL -> true;
                     case ZONE -> t.unit.at.zone() == unit.at.zone();
@@ -497,6 +497,10 @@
                 this.unit = unit;
                 this.ahead = unit.out.size();
             }
+
+            private boolean neverRan() {
+                return ending != null && ending.neverRan;
+            }
         }
     }
 
@@ -664,9 +668,9 @@
                     || (unheard || ending == Ending.COMPLETED) && stoodUs == nowUs) {
                 return;
             }
+            double others = (charter.relays() - 1) * ahead.drawn(nowUs, build.ahead.mean(nowUs, 0), PRIOR);
             build.record(this, ending != Ending.COMPLETED && !unheard, slow,
-                (t.ahead + out.size()) / 2.0 + (charter.relays() - 1) * (ahead.sum(nowUs)
-                    + PRIOR * build.ahead.mean(nowUs, 0)) / (ahead.count(nowUs) + PRIOR));
+                (t.ahead + out.size()) / 2.0 + others);
         }
 
         /**
@@ -728,7 +732,7 @@
          * that is under a req waits, from a start drawn by chance. A slow build's reqs cost more.
          */
         private boolean inBudget() {
-            double times = Math.min(TRIAL_TIMES, cold() ? COLD_PART * charter.coldMultiple() : TRIAL_TIMES);
+            double times = cold() ? Math.min(TRIAL_TIMES, COLD_PART * charter.coldMultiple()) : TRIAL_TIMES;
             double rate = times * able() * workPerPlace() * usualSlowness(-1) / usualSlowness(at.kind());
             budget = Math.min(budget + rate * (nowUs - budgetUs), rate * SAVED_US);
             budgetUs = nowUs;
@@ -736,10 +740,8 @@
         }
 
         private double expectedWait() {
-            double n = slowness.count(nowUs);
-            double slow = (slowness.sum(nowUs) + usualSlowness(at.kind())) / (n + 1);
             double queue = nowUs - waitingAtUs < SECOND ? waiting : 0;
-            return slow * (out.size() + 1 + queue);
+            return slowness.drawn(nowUs, usualSlowness(at.kind()), 1) * (out.size() + 1 + queue);
         }
     }
 
@@ -770,8 +772,7 @@
     }
 
     private double slownessOf(int route) {
-        return (routeSlow[route].sum(nowUs) + PRIOR * slowOfAll.mean(nowUs, 1.5))
-            / (routeSlow[route].count(nowUs) + PRIOR);
+        return routeSlow[route].drawn(nowUs, usualSlowness(-1), PRIOR);
     }
 
     private double usualTook(int route) {
@@ -802,7 +803,7 @@
     private double usualSlowness(int kind) {
         double all = slowOfAll.mean(nowUs, 1.5);
         Fading own = slowByKind.get(kind);
-        return own == null ? all : (own.sum(nowUs) + all) / (own.count(nowUs) + 1);
+        return own == null ? all : own.drawn(nowUs, all, 1);
     }
 
     private double takenWork() {
