--- a/src/main/java/gatelock/relay/Rollout.java
+++ b/src/main/java/gatelock/relay/Rollout.java
@@ -2,8 +2,9 @@
 
 /**
  * How builds are released here. {@code leastUs} is a stage's least time; {@code caps} gives each stage's
- * share of the reqs; {@code free} tries come on top of the share within any window. {@code backVotes} relays send a
- * build back; the desk takes {@code votesPerS} from all; {@code counts} tells that it sends sampled counts.
+ * share of the reqs; {@code free} tries come on top of the share within any window. {@code backVotes} relays
+ * send a build back; the desk takes {@code votesPerS} from all; {@code counts} tells that it sends sampled
+ * counts.
  */
 public record Rollout(Gatekeeping gatekeeping, long leastUs, long voteLifeUs, long voteWaitUs, double[] caps,
                       int guardedStages, boolean perRoute, boolean oneWay, double free,
