--- a/src/main/java/gatelock/bench/MalformedLine.java
+++ b/src/main/java/gatelock/bench/MalformedLine.java
@@ -1,7 +1,7 @@
 package gatelock.bench;
 
 /** Input that does not read as the wire; the message says what was expected. */
-final class MalformedLine extends RuntimeException {
+public final class MalformedLine extends RuntimeException {
     private static final long serialVersionUID = 1L;
 
     MalformedLine(String message) {
--- a/src/main/java/gatelock/bench/Terms.java
+++ b/src/main/java/gatelock/bench/Terms.java
@@ -9,25 +9,35 @@
 import java.util.List;
 import java.util.Map;
 
-/** Decodes what an instance is told at its start; times become microseconds, rounded to the safe side. */
-final class Terms {
-    private final Map<String, String> pairs = new HashMap<>();
+/**
+ * Decodes what an instance is told at its start, whatever carried it; times become microseconds, rounded to
+ * the safe side.
+ */
+public final class Terms {
+    private final Map<String, String> pairs;
 
-    private Terms(String info) {
+    private Terms(Map<String, String> pairs) {
+        this.pairs = pairs;
+    }
+
+    static Map<String, String> pairs(String info) {
+        Map<String, String> pairs = new HashMap<>();
         for (String pair : info.split(" ")) {
             int eq = pair.indexOf('=');
             if (eq > 0) {
                 pairs.put(pair.substring(0, eq), pair.substring(eq + 1));
             }
         }
+        return pairs;
     }
 
     static long atLeastOne(long ns) {
         return ns > 0 ? Math.max(1, ns / 1000) : 0;
     }
 
-    static Charter read(long seed, String info) {
-        Terms t = new Terms(info);
+    /** Reads path=value pairs; {@link MalformedLine} where one is not of its kind. */
+    public static Charter read(long seed, Map<String, String> pairs) {
+        Terms t = new Terms(pairs);
         List<Route> routes = new ArrayList<>();
         for (int i = 0; i < t.whole("lanes.count", 0); i++) {
             String p = "lanes." + i + ".";
--- a/src/main/java/gatelock/bench/Wirehost.java
+++ b/src/main/java/gatelock/bench/Wirehost.java
@@ -212,7 +212,7 @@
         if (f.name().equals("POWER_ON")) {
             long seed = f.number("entropy");
             relay.held.clear();
-            relay.gate = new ReleaseGate(Terms.read(seed, f.rest()), relay);
+            relay.gate = new ReleaseGate(Terms.read(seed, Terms.pairs(f.rest())), relay);
             relay.gate.start(nowUs);
             return;
         }
--- /dev/null
+++ b/src/main/java/gatelock/boot/Configuration.java
@@ -0,0 +1,100 @@
+package gatelock.boot;
+
+import gatelock.bench.MalformedLine;
+import gatelock.bench.Terms;
+import gatelock.relay.Charter;
+import gatelock.wire.Json;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** What a relay is told when it starts, read from one JSON file. */
+record Configuration(String name, InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress desk,
+                     int sockets, Json known, Json news, Charter charter, Map<String, String> settings) {
+
+    /** Reads it whole; whatever is missing or odd is told in one message. */
+    static Configuration read(Path file) throws IOException {
+        Json all = Json.read(Files.readAllBytes(file));
+        Json deployer = all.object("deployer");
+        Map<String, String> settings = new HashMap<>();
+        flatten("", all.object("settings").fields(), settings);
+        try {
+            Charter charter = Terms.read(seed(all.text("seed")), settings);
+            if (charter.routes().isEmpty()) {
+                throw new IOException("expected routes in the settings");
+            }
+            return new Configuration(all.text("name"), address(all.text("listen")),
+                address(all.text("discovery")), address(deployer.text("address")),
+                (int) all.object("limits").whole("sockets"), all.object("known"), deployer.object("news"),
+                charter, settings);
+        } catch (MalformedLine e) {
+            throw new IOException(e.getMessage(), e);
+        }
+    }
+
+    long us(String path) {
+        return (long) (Double.parseDouble(settings.getOrDefault(path, "0")) / 1000);
+    }
+
+    /** The names under a list of objects, by place. */
+    Map<String, Integer> numbered(String list) {
+        Map<String, Integer> names = new LinkedHashMap<>();
+        for (int i = 0; settings.containsKey(list + "." + i + ".name"); i++) {
+            names.put(settings.get(list + "." + i + ".name"), i);
+        }
+        return names;
+    }
+
+    List<String> plain(String list) {
+        return List.of(settings.getOrDefault(list, "").split(","));
+    }
+
+    List<Long> eachUs(String list, String field) {
+        List<Long> found = new ArrayList<>();
+        for (int i = 0; settings.containsKey(list + "." + i + "." + field); i++) {
+            found.add(us(list + "." + i + "." + field));
+        }
+        return found;
+    }
+
+    /** Nested JSON as the path=value pairs that the simulator's wire has. */
+    private static void flatten(String path, Object value, Map<String, String> pairs) {
+        if (value instanceof Map<?, ?> map) {
+            map.forEach((k, v) -> flatten(path.isEmpty() ? "" + k : path + "." + k, v, pairs));
+        } else if (value instanceof List<?> list && list.stream().anyMatch(Map.class::isInstance)) {
+            pairs.put(path + ".count", "" + list.size());
+            for (int i = 0; i < list.size(); i++) {
+                flatten(path + "." + i, list.get(i), pairs);
+            }
+        } else if (value instanceof List<?> list) {
+            pairs.put(path, String.join(",", list.stream().map(String::valueOf).toList()));
+        } else if (value != null) {
+            pairs.put(path, value.toString());
+        }
+    }
+
+    private static long seed(String text) throws IOException {
+        try {
+            return Long.parseUnsignedLong(text, 16);
+        } catch (NumberFormatException e) {
+            throw new IOException("expected seed as hex digits, found " + text, e);
+        }
+    }
+
+    private static InetSocketAddress address(String text) throws IOException {
+        int colon = text.lastIndexOf(':');
+        try {
+            return new InetSocketAddress(text.substring(0, Math.max(0, colon)),
+                Integer.parseInt(text.substring(colon + 1)));
+        } catch (IllegalArgumentException e) {
+            throw new IOException("expected address:port, found " + text, e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gatelock/kept/Caller.java
@@ -0,0 +1,14 @@
+package gatelock.kept;
+
+/** Whoever waits for a req's answer, in whatever protocol it came; gets exactly one. */
+public interface Caller {
+
+    /** Passes on what a unit answered. */
+    void completed(UnitAnswer answer);
+
+    /** Not done, trying again is harmless, best after {@code pauseUs} (0: no advice). */
+    void shed(long pauseUs);
+
+    /** Errored, nothing promised. */
+    void errored(boolean late);
+}
--- /dev/null
+++ b/src/main/java/gatelock/kept/Counters.java
@@ -0,0 +1,35 @@
+package gatelock.kept;
+
+import gatelock.relay.Ending;
+
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Counts since the start, for the operators. */
+public final class Counters {
+    private final Map<String, Long> counts = new TreeMap<>();
+    private final Map<Ending, Long> endings = new EnumMap<>(Ending.class);
+
+    public void add(String what) {
+        counts.merge(what, 1L, Long::sum);
+    }
+
+    public void ended(Ending ending) {
+        endings.merge(ending, 1L, Long::sum);
+    }
+
+    /** What must hold: asserted in debug builds, counted in release builds. */
+    public boolean holds(boolean condition, String what) {
+        assert condition : what;
+        if (!condition) {
+            add("broken: " + what);
+        }
+        return condition;
+    }
+
+    @Override
+    public String toString() {
+        return counts + " tries " + endings;
+    }
+}
--- /dev/null
+++ b/src/main/java/gatelock/kept/OpenReq.java
@@ -0,0 +1,81 @@
+package gatelock.kept;
+
+import gatelock.relay.Handle;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** A req that was taken and is not settled yet. What goes on to a unit stays the bytes that came. */
+public final class OpenReq {
+    private final String id;
+    private final byte[] head;
+    private final byte[] body;
+    private final long endUs;
+    private final Caller caller;
+    private final List<Runnable> calledOff = new ArrayList<>(2);
+    private Handle handle;
+    private boolean over;
+
+    /**
+     * @param head first line and headers as a unit gets them, all but those that change with each try
+     * @param endUs until when the caller waits
+     */
+    public OpenReq(String id, byte[] head, byte[] body, long endUs, Caller caller) {
+        this.id = id;
+        this.head = head;
+        this.body = body;
+        this.endUs = endUs;
+        this.caller = caller;
+    }
+
+    public String id() {
+        return id;
+    }
+
+    public byte[] head() {
+        return head;
+    }
+
+    public byte[] body() {
+        return body;
+    }
+
+    public long endUs() {
+        return endUs;
+    }
+
+    public Caller caller() {
+        return caller;
+    }
+
+    public Handle handle() {
+        return handle;
+    }
+
+    public void taken(Handle handle) {
+        this.handle = handle;
+    }
+
+    /** Whether the final answer is given or the caller has left. */
+    public boolean over() {
+        return over;
+    }
+
+    public void close() {
+        over = true;
+    }
+
+    /** Numbers a new try from 0 in the order sent; {@code callOff} gives it up. */
+    public int addTry(Runnable callOff) {
+        calledOff.add(callOff);
+        return calledOff.size() - 1;
+    }
+
+    public int tries() {
+        return calledOff.size();
+    }
+
+    public Runnable callOff(int tryNo) {
+        return calledOff.get(tryNo);
+    }
+}
--- /dev/null
+++ b/src/main/java/gatelock/wire/Book.java
@@ -0,0 +1,50 @@
+package gatelock.wire;
+
+import gatelock.kept.Counters;
+import gatelock.kept.OpenReq;
+import gatelock.kept.OpenReqs;
+import gatelock.kept.UnitAnswer;
+import gatelock.relay.Ending;
+import gatelock.relay.Load;
+
+/** Last stage: whatever ended is told to the decisions and counted, and what is settled is forgotten. */
+public final class Book {
+    private final Turn turn;
+    private final OpenReqs open;
+    private final Counters counters;
+    private final RelayBack relayBack;
+
+    public Book(Turn turn, OpenReqs open, Counters counters, RelayBack relayBack) {
+        this.turn = turn;
+        this.open = open;
+        this.counters = counters;
+        this.relayBack = relayBack;
+    }
+
+    /** A try has ended; the first that completed is the req's answer. */
+    void ended(OpenReq req, int tryNo, Ending ending, long tookUs, UnitAnswer answer) {
+        counters.ended(ending);
+        if (ending == Ending.COMPLETED && !req.over()) {
+            relayBack.completed(req, answer);
+        }
+        req.handle().ended(turn.nowUs(), tryNo, ending, tookUs, req.over(), Load.NONE);
+        settle(req);
+    }
+
+    /** The caller has left. */
+    void left(OpenReq req) {
+        if (!req.over()) {
+            counters.add("callers left");
+            open.close(req);
+            req.handle().concluded(turn.nowUs());
+            settle(req);
+        }
+    }
+
+    void settle(OpenReq req) {
+        if (req.handle().settled()) {
+            counters.holds(req.over(), "settled without an answer");
+            open.forget(req);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gatelock/wire/Line.java
@@ -0,0 +1,190 @@
+package gatelock.wire;
+
+import gatelock.kept.UnitAnswer;
+
+import org.xnio.IoFuture;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.XnioExecutor;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.function.Consumer;
+
+/**
+ * A connection that this relay opens, with one call on it at a time. It sends nothing twice, and it sees
+ * whether a call's last byte was written: what ended before that has never run.
+ */
+final class Line {
+    private static final OptionMap OPTIONS = OptionMap.create(Options.TCP_NODELAY, true);
+
+    /** Whoever made a call; hears once how it ended, never while the call is being made. */
+    interface User {
+        void answered(UnitAnswer answer);
+
+        /** No whole, readable answer came; {@code written}: the last byte of the call was written before. */
+        void broken(boolean written);
+    }
+
+    private final Turn turn;
+    private final Lines home;
+    private final InetSocketAddress address;
+    private StreamConnection connection;
+    private IoFuture<StreamConnection> opening;
+    private XnioExecutor.Key openLimit;
+    private ByteBuffer[] call;
+    private AnswerReader reader;
+    private User user;
+    private boolean written;
+    private boolean ended;
+
+    Line(Turn turn, Lines home, InetSocketAddress address) {
+        this.turn = turn;
+        this.home = home;
+        this.address = address;
+    }
+
+    InetSocketAddress address() {
+        return address;
+    }
+
+    /** Opens the connection and makes the first call on it. */
+    void open(long withinUs, ByteBuffer[] call, Consumer<byte[]> parts, User user) {
+        begin(call, parts, user);
+        openLimit = turn.in(withinUs, () -> {
+            if (connection == null) {
+                end();
+            }
+        });
+        opening = turn.thread().openStreamConnection(address, this::up, OPTIONS);
+        opening.addNotifier(new IoFuture.HandlingNotifier<StreamConnection, Void>() {
+            @Override
+            public void handleFailed(IOException e, Void nothing) {
+                turn.soon(Line.this::end);
+            }
+        }, null);
+    }
+
+    /** Makes one more call on a connection that stands idle. */
+    void call(ByteBuffer[] call, Consumer<byte[]> parts, User user) {
+        begin(call, parts, user);
+        write();
+    }
+
+    private void begin(ByteBuffer[] call, Consumer<byte[]> parts, User user) {
+        this.call = call;
+        this.user = user;
+        reader = new AnswerReader(parts);
+        written = false;
+    }
+
+    private void up(StreamConnection opened) {
+        if (ended) {
+            IoUtils.safeClose(opened);
+            return;
+        }
+        openLimit.remove();
+        connection = opened;
+        connection.getSinkChannel().setWriteListener(c -> write());
+        connection.getSourceChannel().setReadListener(c -> read());
+        connection.getSourceChannel().resumeReads();
+        write();
+    }
+
+    private void write() {
+        if (ended || written) {
+            return;
+        }
+        try {
+            while (call[call.length - 1].hasRemaining()) {
+                if (connection.getSinkChannel().write(call, 0, call.length) == 0) {
+                    connection.getSinkChannel().resumeWrites();
+                    return;
+                }
+            }
+            written = true;
+            connection.getSinkChannel().suspendWrites();
+        } catch (IOException e) {
+            turn.soon(this::end);
+        }
+    }
+
+    private void read() {
+        try {
+            while (!ended) {
+                ByteBuffer in = turn.reading();
+                int n = connection.getSourceChannel().read(in);
+                if (n == 0) {
+                    return;
+                }
+                if (n < 0 || user == null) {
+                    // An end, or bytes that nobody asked for on an idle connection.
+                    if (user != null) {
+                        reader.end();
+                    }
+                    if (user != null && reader.whole()) {
+                        finish(false);
+                    } else {
+                        end();
+                    }
+                    return;
+                }
+                in.flip();
+                reader.read(in);
+                if (reader.whole()) {
+                    finish(reader.lasting() && written && !in.hasRemaining());
+                }
+            }
+        } catch (IOException | UnreadableAnswer e) {
+            end();
+        }
+    }
+
+    /** Whether an idle connection still stands, as far as can be told without writing to it. */
+    boolean stands() {
+        try {
+            return !ended && connection.getSourceChannel().read(turn.reading()) == 0;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    private void finish(boolean keep) {
+        User caller = user;
+        user = null;
+        if (keep) {
+            home.idle(this);
+        } else {
+            end();
+        }
+        caller.answered(reader.answer());
+    }
+
+    /** Gives the call up, or the idle connection; whoever made the call hears nothing more of it. */
+    void drop() {
+        user = null;
+        end();
+    }
+
+    private void end() {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        openLimit.remove();
+        if (connection != null) {
+            IoUtils.safeClose(connection);
+        } else if (opening != null) {
+            opening.cancel();
+        }
+        home.gone(this);
+        User caller = user;
+        user = null;
+        if (caller != null) {
+            caller.broken(written);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gatelock/wire/Lines.java
@@ -0,0 +1,69 @@
+package gatelock.wire;
+
+import gatelock.kept.Counters;
+import gatelock.kept.Idle;
+
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.function.Consumer;
+
+/** The connections that this relay opens to one kind of party, kept between calls. */
+public final class Lines {
+    private final Turn turn;
+    private final Counters counters;
+    private final Idle<Line> idle;
+    private final long openWithinUs;
+    private final long idleUs;
+
+    /**
+     * @param openWithinUs a connection that is not up by then has failed
+     * @param idleUs how long a connection is kept without a call
+     * @param most how many are kept without a call
+     */
+    public Lines(Turn turn, Counters counters, long openWithinUs, long idleUs, int most) {
+        this.turn = turn;
+        this.counters = counters;
+        this.openWithinUs = openWithinUs;
+        this.idleUs = idleUs;
+        this.idle = new Idle<>(most, Line::drop);
+        turn.soon(this::sweep);
+    }
+
+    private void sweep() {
+        idle.closeBefore(turn.nowUs() - idleUs);
+        turn.in(Math.min(1_000_000, idleUs / 4), this::sweep);
+    }
+
+    /** Makes one call, on a connection that stands or on a new one. */
+    Line call(InetSocketAddress address, ByteBuffer[] call, Line.User user) {
+        for (Line line = idle.take(address); line != null; line = idle.take(address)) {
+            if (line.stands()) {
+                line.call(call, null, user);
+                return line;
+            }
+            line.drop();
+        }
+        return open(address, call, null, user);
+    }
+
+    /** Makes one call on a connection of its own; {@code parts} takes the answer's body as it comes. */
+    Line open(InetSocketAddress address, ByteBuffer[] call, Consumer<byte[]> parts, Line.User user) {
+        counters.add("connections opened");
+        Line line = new Line(turn, this, address);
+        line.open(openWithinUs, call, parts, user);
+        return line;
+    }
+
+    /** Closes the idle ones to a party that has left, drains or came back as another process. */
+    void close(InetSocketAddress address) {
+        idle.closeAll(address);
+    }
+
+    void idle(Line line) {
+        idle.put(turn.nowUs(), line.address(), line);
+    }
+
+    void gone(Line line) {
+        idle.remove(line.address(), line);
+    }
+}
--- /dev/null
+++ b/src/main/java/gatelock/wire/Orders.java
@@ -0,0 +1,90 @@
+package gatelock.wire;
+
+import gatelock.kept.OpenReq;
+import gatelock.kept.OpenReqs;
+import gatelock.relay.Gate;
+import gatelock.relay.Outlet;
+import gatelock.relay.Verdict;
+
+import java.lang.System.Logger.Level;
+
+/**
+ * What the decisions ask for. All of it is done right after the call that led to it, in order, so that no
+ * stage is entered while the decisions are still at work.
+ */
+public final class Orders implements Outlet {
+    private static final System.Logger LOG = System.getLogger("gatelock.decision");
+
+    private final Turn turn;
+    private final OpenReqs open;
+    private RouteOut routeOut;
+    private RelayBack relayBack;
+    private Book book;
+    private Desk desk;
+    private Discovery discovery;
+    private Gate gate;
+
+    public Orders(Turn turn, OpenReqs open) {
+        this.turn = turn;
+        this.open = open;
+    }
+
+    /** Names who carries them out, before the first one is given. */
+    public void bind(Gate gate, RouteOut routeOut, RelayBack relayBack, Book book, Desk desk,
+                     Discovery discovery) {
+        this.gate = gate;
+        this.routeOut = routeOut;
+        this.relayBack = relayBack;
+        this.book = book;
+        this.desk = desk;
+        this.discovery = discovery;
+    }
+
+    @Override
+    public void send(String id, String unit, long timeoutUs) {
+        turn.soon(() -> routeOut.send(open.get(id), unit, timeoutUs));
+    }
+
+    @Override
+    public void shed(String id, long pauseUs) {
+        turn.soon(() -> {
+            OpenReq req = open.get(id);
+            relayBack.shed(req, pauseUs);
+            book.settle(req);
+        });
+    }
+
+    @Override
+    public void error(String id) {
+        turn.soon(() -> {
+            OpenReq req = open.get(id);
+            relayBack.errored(req);
+            book.settle(req);
+        });
+    }
+
+    @Override
+    public void cancel(String id, int tryNo) {
+        turn.soon(() -> open.get(id).callOff(tryNo).run());
+    }
+
+    @Override
+    public void vote(int build, int stage, Verdict verdict) {
+        turn.soon(() -> desk.vote(build, stage, verdict));
+    }
+
+    @Override
+    public void timer(long inUs, long token) {
+        turn.in(inUs, () -> gate.due(turn.nowUs(), token));
+    }
+
+    @Override
+    public void followList() {
+        turn.soon(discovery::follow);
+    }
+
+    @Override
+    public void say(String line) {
+        LOG.log(Level.INFO, line);
+    }
+}
--- /dev/null
+++ b/src/main/java/gatelock/wire/RelayBack.java
@@ -0,0 +1,41 @@
+package gatelock.wire;
+
+import gatelock.kept.Counters;
+import gatelock.kept.OpenReq;
+import gatelock.kept.OpenReqs;
+import gatelock.kept.UnitAnswer;
+
+/** Fifth stage: the one final answer goes back to the caller. */
+public final class RelayBack {
+    private final Turn turn;
+    private final OpenReqs open;
+    private final Counters counters;
+
+    public RelayBack(Turn turn, OpenReqs open, Counters counters) {
+        this.turn = turn;
+        this.open = open;
+        this.counters = counters;
+    }
+
+    void completed(OpenReq req, UnitAnswer answer) {
+        counters.add("completed");
+        open.close(req);
+        req.caller().completed(answer);
+    }
+
+    void shed(OpenReq req, long pauseUs) {
+        if (!req.over()) {
+            counters.add("shed");
+            open.close(req);
+            req.caller().shed(pauseUs);
+        }
+    }
+
+    void errored(OpenReq req) {
+        if (!req.over()) {
+            counters.add("errored");
+            open.close(req);
+            req.caller().errored(turn.nowUs() >= req.endUs());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gatelock/wire/SendOff.java
@@ -0,0 +1,94 @@
+package gatelock.wire;
+
+import gatelock.kept.OpenReq;
+import gatelock.kept.UnitAnswer;
+import gatelock.relay.Ending;
+
+import org.xnio.XnioExecutor;
+
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+
+/** Fourth stage: one try goes out on a connection of its own for the time, and its ending is found. */
+public final class SendOff {
+    private final Turn turn;
+    private final Lines lines;
+    private final Book book;
+
+    public SendOff(Turn turn, Lines lines, Book book) {
+        this.turn = turn;
+        this.lines = lines;
+        this.book = book;
+    }
+
+    /** Numbers and sends a try; without an address it can't come to be connected. */
+    void send(OpenReq req, InetSocketAddress address, long timeoutUs) {
+        Try rev = new Try(req);
+        if (req.over() || turn.nowUs() >= req.endUs()) {
+            rev.end(Ending.NOT_SENT, null);
+        } else if (address == null) {
+            rev.end(Ending.NOT_CONNECTED, null);
+        } else {
+            rev.begin(address, timeoutUs);
+        }
+    }
+
+    /** One try. */
+    private final class Try implements Line.User {
+        private final OpenReq req;
+        private final int number;
+        private final long sentUs = turn.nowUs();
+        private XnioExecutor.Key limit;
+        private Line line;
+        private boolean ended;
+
+        Try(OpenReq req) {
+            this.req = req;
+            this.number = req.addTry(() -> giveUp(Ending.CANCELLED));
+        }
+
+        private void begin(InetSocketAddress address, long timeoutUs) {
+            long leftUs = req.endUs() - sentUs;
+            long waitUs = timeoutUs > 0 ? Math.min(timeoutUs, leftUs) : leftUs;
+            limit = turn.in(waitUs, () -> giveUp(Ending.TIMED_OUT));
+            byte[] varying = ("X-Expires-In-Ms: " + Math.max(1, waitUs / 1000) + "\r\n\r\n")
+                .getBytes(StandardCharsets.ISO_8859_1);
+            // One buffer, so that an ordinary req leaves in one write.
+            ByteBuffer call = ByteBuffer.allocate(req.head().length + varying.length + req.body().length);
+            call.put(req.head()).put(varying).put(req.body()).flip();
+            line = lines.call(address, new ByteBuffer[] {call}, this);
+        }
+
+        /** Closes the connection: that is how a unit learns that nobody waits any more. */
+        private void giveUp(Ending ending) {
+            if (!ended) {
+                line.drop();
+                end(ending, null);
+            }
+        }
+
+        @Override
+        public void answered(UnitAnswer answer) {
+            boolean never = (answer.status() == 503 || answer.status() == 504)
+                && "1".equals(answer.header("X-Never-Ran"));
+            end(answer.status() == 200 ? Ending.COMPLETED : never ? Ending.TURNED_AWAY : Ending.ERRORED, answer);
+        }
+
+        @Override
+        public void broken(boolean written) {
+            end(written ? Ending.BROKEN_OFF : Ending.NOT_CONNECTED, null);
+        }
+
+        private void end(Ending ending, UnitAnswer answer) {
+            if (ended) {
+                return;
+            }
+            ended = true;
+            if (limit != null) {
+                limit.remove();
+            }
+            book.ended(req, number, ending, turn.nowUs() - sentUs, answer);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gatelock/wire/TakeIn.java
@@ -0,0 +1,276 @@
+package gatelock.wire;
+
+import gatelock.kept.Caller;
+import gatelock.kept.Counters;
+import gatelock.kept.OpenReq;
+import gatelock.kept.UnitAnswer;
+import gatelock.relay.Gate;
+import gatelock.relay.Route;
+
+import io.undertow.connector.PooledByteBuffer;
+import io.undertow.io.IoCallback;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.protocol.http.HttpServerConnection;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.HeaderValues;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import io.undertow.util.SameThreadExecutor;
+
+import org.xnio.IoUtils;
+import org.xnio.conduits.StreamSourceConduit;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+
+/** First stage: a client's req is read whole and checked for its form; the fields that matter are taken out. */
+public final class TakeIn implements HttpHandler {
+    private static final int MOST_BODY = 64 * 1024;
+    private static final HttpString TRACE = new HttpString("X-Trace-Id");
+    private static final HttpString CUSTOMER = new HttpString("X-Customer");
+    private static final HttpString EXPIRES = new HttpString("X-Expires-In-Ms");
+    private static final HttpString HINT = new HttpString("X-Size-Hint");
+    private static final HttpString ONCE = new HttpString("Idempotency-Key");
+    /** Said of one connection only, or said anew to the unit. */
+    private static final Set<HttpString> NOT_PASSED_ON = Set.of(Headers.CONNECTION, Headers.KEEP_ALIVE,
+        Headers.TRANSFER_ENCODING, Headers.CONTENT_LENGTH, Headers.TE, Headers.TRAILER, Headers.UPGRADE,
+        Headers.EXPECT, EXPIRES);
+
+    /** The names that a req may bear, as the deployment numbers them. */
+    public record Names(Map<String, Integer> routes, Map<String, Integer> tenants, List<Route> terms,
+                        List<Long> deadlinesUs) {
+    }
+
+    private final Turn turn;
+    private final Counters counters;
+    private final Names names;
+    private final Admit admit;
+    private final Front front;
+
+    public TakeIn(Turn turn, Counters counters, Names names, Admit admit, Front front) {
+        this.turn = turn;
+        this.counters = counters;
+        this.names = names;
+        this.admit = admit;
+        this.front = front;
+    }
+
+    @Override
+    public void handleRequest(HttpServerExchange exchange) {
+        front.busy(exchange);
+        String path = exchange.getRequestPath();
+        if (path.startsWith("/-/")) {
+            boolean good = path.equals("/-/ready") ? front.ready() : path.equals("/-/healthy");
+            refuse(exchange, good ? 200 : path.equals("/-/ready") ? 503 : 404);
+            return;
+        }
+        long length = exchange.getRequestContentLength();
+        int slash = path.indexOf('/', 1);
+        Integer route = names.routes.get(path.substring(Math.min(1, path.length()), slash < 0 ? path.length()
+            : slash));
+        int wrong = formOf(exchange, route, length);
+        if (wrong != 0) {
+            refuse(exchange, wrong);
+        } else if (length == 0 || exchange.isRequestComplete()) {
+            take(exchange, route, new byte[0]);
+        } else {
+            exchange.getRequestReceiver().setMaxBufferSize(MOST_BODY);
+            exchange.getRequestReceiver().receiveFullBytes((ex, body) -> take(ex, route, body),
+                (ex, e) -> refuse(ex, e instanceof io.undertow.io.Receiver.RequestToLargeException ? 413 : 400));
+        }
+    }
+
+    /** 0, or the status for a req that can't be taken. */
+    private int formOf(HttpServerExchange exchange, Integer route, long length) {
+        HeaderMap headers = exchange.getRequestHeaders();
+        if (route == null) {
+            return 404;
+        }
+        boolean get = exchange.getRequestMethod().equalToString("GET");
+        Route.Repeat repeat = names.terms.get(route).repeat();
+        if (get != (repeat == Route.Repeat.RETRIABLE) || !get && !exchange.getRequestMethod().equalToString("POST")) {
+            return 405;
+        }
+        if (!get && length < 0 && !headers.contains(Headers.TRANSFER_ENCODING)) {
+            return 411;
+        }
+        if (length > MOST_BODY) {
+            return 413;
+        }
+        String id = headers.getFirst(TRACE);
+        boolean keyed = repeat != Route.Repeat.DEDUPED || headers.contains(ONCE);
+        return id == null || id.isEmpty() || !keyed || admit.isOpen(id) ? 400 : 0;
+    }
+
+    /** Answers what was never taken. */
+    private void refuse(HttpServerExchange exchange, int status) {
+        if (status >= 400) {
+            counters.add("not taken " + status);
+        }
+        if (!exchange.isRequestComplete()) {
+            exchange.setPersistent(false);
+        }
+        exchange.setStatusCode(status);
+        front.last(exchange);
+        exchange.endExchange();
+    }
+
+    private void take(HttpServerExchange exchange, int route, byte[] body) {
+        if (admit.isOpen(exchange.getRequestHeaders().getFirst(TRACE))) {
+            refuse(exchange, 400);
+            return;
+        }
+        HeaderMap headers = exchange.getRequestHeaders();
+        String id = headers.getFirst(TRACE);
+        long leftUs = number(headers.getFirst(EXPIRES), -1) * 1000;
+        long endUs = turn.nowUs() + (leftUs > 0 ? leftUs : names.deadlinesUs.get(route));
+        Integer tenant = names.tenants.get(headers.getFirst(CUSTOMER));
+        HttpCaller caller = new HttpCaller(exchange);
+        OpenReq req = new OpenReq(id, head(exchange, body.length), body, endUs, caller);
+        caller.req = req;
+        int org = tenant == null ? names.tenants.size() : tenant;
+        long key = key(exchange.getRequestCookie("k") == null ? null : exchange.getRequestCookie("k").getValue());
+        long costUs = Math.max(0, number(headers.getFirst(HINT), 0));
+        // Undertow ends an exchange whose handler returns without having dispatched it.
+        exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
+            admit.admit(req, route, org, key, costUs);
+            caller.watch();
+        });
+    }
+
+    /** First line and headers for a unit, as they came but for those of this connection alone. */
+    private static byte[] head(HttpServerExchange exchange, int length) {
+        StringBuilder head = new StringBuilder(256);
+        head.append(exchange.getRequestMethod()).append(' ').append(exchange.getRequestURI());
+        if (!exchange.getQueryString().isEmpty()) {
+            head.append('?').append(exchange.getQueryString());
+        }
+        head.append(" HTTP/1.1\r\n");
+        for (HeaderValues values : exchange.getRequestHeaders()) {
+            if (!NOT_PASSED_ON.contains(values.getHeaderName())) {
+                for (String value : values) {
+                    head.append(values.getHeaderName()).append(": ").append(value).append("\r\n");
+                }
+            }
+        }
+        if (length > 0 || !exchange.getRequestMethod().equalToString("GET")) {
+            head.append("Content-Length: ").append(length).append("\r\n");
+        }
+        return head.toString().getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    /** A key of any form as a number: hex digits as they read, anything else by its bytes. */
+    private static long key(String text) {
+        if (text == null || text.isEmpty()) {
+            return Gate.NO_KEY;
+        }
+        try {
+            return Long.parseUnsignedLong(text, 16) & Long.MAX_VALUE;
+        } catch (NumberFormatException e) {
+            long sum = 0xcbf29ce484222325L;
+            for (byte b : text.getBytes(StandardCharsets.UTF_8)) {
+                sum = (sum ^ b) * 0x100000001b3L;
+            }
+            return sum & Long.MAX_VALUE;
+        }
+    }
+
+    /** A whole number; a missing or odd field counts as absent. */
+    private static long number(String text, long absent) {
+        try {
+            return text == null ? absent : Long.parseLong(text.trim());
+        } catch (NumberFormatException e) {
+            return absent;
+        }
+    }
+
+    /** A client on an HTTP connection, waiting for its answer. */
+    private final class HttpCaller implements Caller {
+        private final HttpServerExchange exchange;
+        private OpenReq req;
+
+        HttpCaller(HttpServerExchange exchange) {
+            this.exchange = exchange;
+        }
+
+        /** Undertow does not read while a req is being answered, so it would not see a client leave. */
+        void watch() {
+            if (!(exchange.getConnection() instanceof HttpServerConnection connection) || req.over()
+                    || connection.getExtraBytes() != null) {
+                return;
+            }
+            StreamSourceConduit source = connection.getOriginalSourceConduit();
+            connection.getChannel().getSourceChannel().setReadListener(channel -> look(connection, source));
+            source.resumeReads();
+        }
+
+        private void look(HttpServerConnection connection, StreamSourceConduit source) {
+            source.suspendReads();
+            if (req.over()) {
+                return;
+            }
+            PooledByteBuffer pooled = connection.getByteBufferPool().allocate();
+            try {
+                int n = source.read(pooled.getBuffer());
+                if (n > 0) {
+                    // The next req, early: Undertow finds it when this one is answered.
+                    pooled.getBuffer().flip();
+                    connection.setExtraBytes(pooled);
+                    return;
+                }
+                pooled.close();
+                if (n == 0) {
+                    source.resumeReads();
+                    return;
+                }
+            } catch (IOException e) {
+                pooled.close();
+            }
+            admit.left(req);
+            IoUtils.safeClose(connection);
+        }
+
+        @Override
+        public void completed(UnitAnswer answer) {
+            exchange.setStatusCode(200);
+            for (int i = 0; i < answer.headers().size(); i += 2) {
+                HttpString name = new HttpString(answer.headers().get(i));
+                if (!NOT_PASSED_ON.contains(name) && !name.equals(Headers.DATE)) {
+                    exchange.getResponseHeaders().add(name, answer.headers().get(i + 1));
+                }
+            }
+            answer(answer.body());
+        }
+
+        @Override
+        public void shed(long pauseUs) {
+            exchange.setStatusCode(503);
+            if (pauseUs > 0) {
+                exchange.getResponseHeaders().put(Headers.RETRY_AFTER,
+                    String.format(Locale.ROOT, "%.3f", pauseUs / 1e6));
+            }
+            answer(new byte[0]);
+        }
+
+        @Override
+        public void errored(boolean late) {
+            exchange.setStatusCode(late ? 504 : 502);
+            answer(new byte[0]);
+        }
+
+        private void answer(byte[] body) {
+            front.last(exchange);
+            if (body.length == 0) {
+                exchange.endExchange();
+            } else {
+                exchange.getResponseSender().send(ByteBuffer.wrap(body), IoCallback.END_EXCHANGE);
+            }
+        }
+    }
+}
