--- a/src/main/java/gatelock/decision/Ledger.java
+++ b/src/main/java/gatelock/decision/Ledger.java
@@ -3,23 +3,40 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.random.RandomGenerator;
 
 /** The latest slices of one build, and those that were kept at one time. */
 final class Ledger {
     private final int most;
+    private final int mostOutcomes;
+    private final RandomGenerator chance;
     private final ArrayDeque<Slice> slices = new ArrayDeque<>();
     private List<Slice> before = List.of();
+    private int seenInLast;
 
-    Ledger(int most) {
+    /** Keeps so many slices, and of what is added to one by one a fair sample of so many outcomes. */
+    Ledger(int most, int mostOutcomes, RandomGenerator chance) {
         this.most = most;
+        this.mostOutcomes = mostOutcomes;
+        this.chance = chance;
     }
 
     /** Adds to the slice of this number, which is the latest or a new one. */
     void add(long number, Outcome outcome) {
         if (slices.isEmpty() || slices.peekLast().number() != number) {
             add(new Slice(number, new ArrayList<>(List.of(outcome))));
+            seenInLast = 1;
+            return;
+        }
+        List<Outcome> held = slices.peekLast().outcomes();
+        seenInLast++;
+        if (held.size() < mostOutcomes) {
+            held.add(outcome);
         } else {
-            slices.peekLast().outcomes().add(outcome);
+            int place = chance.nextInt(seenInLast);
+            if (place < mostOutcomes) {
+                held.set(place, outcome);
+            }
         }
     }
 
--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -24,6 +24,7 @@
     /** Page (what its page gives): outcomes in slices of this length; with fewer on trial no verdict. */
     private static final long SLICE_US = SECOND;
     private static final int FEWEST = 20;
+    private static final int MOST_HELD = 300; // outcomes a slice; of more, a fair sample keeps a look quick
     /** Page: both bars. Ours: 1.5 between builds, as units of one kind differ by a fifth. */
     private static final double PERCENTILE = 0.9;
     private static final double FLEET_MARGIN = 1.25;
@@ -510,8 +511,8 @@
     private final class Build {
         private final int number;
         private final List<Unit> ready = new ArrayList<>();
-        private final Ledger own = new Ledger(EARLIER_SLICES);
-        private final Ledger counts = new Ledger(EARLIER_SLICES * charter.routes().size());
+        private final Ledger own = new Ledger(EARLIER_SLICES, MOST_HELD, chance);
+        private final Ledger counts = new Ledger(EARLIER_SLICES * charter.routes().size(), 0, chance);
         private final double[] room;
         private final Fading slowness = new Fading(SPEED_MEMORY_US);
         private final Fading ahead = new Fading(RATE_MEMORY_US);
@@ -971,8 +972,7 @@
         if (seen < fewest) {
             return Finding.NO_VERDICT;
         }
-        int[] once = new int[theirs.size()];
-        Arrays.fill(once, 1);
+        int[] once = IntStream.range(0, theirs.size()).map(i -> 1).toArray();
         // What strikes both builds is not held against one; sick units of the earlier build are no excuse.
         List<Object> sick = Slice.worst(theirs, Outcome::error);
         boolean known = !theirs.isEmpty() && sick.get(0) instanceof Unit
--- a/src/main/java/gatelock/wire/Book.java
+++ b/src/main/java/gatelock/wire/Book.java
@@ -41,9 +41,9 @@
         }
     }
 
+    /** Forgets a req once it is answered and its last try has ended; an answer may still be on its way out. */
     void settle(OpenReq req) {
-        if (req.handle().settled()) {
-            counters.holds(req.over(), "settled without an answer");
+        if (req.over() && req.handle().settled()) {
             open.forget(req);
         }
     }
--- a/src/main/java/gatelock/wire/Orders.java
+++ b/src/main/java/gatelock/wire/Orders.java
@@ -42,13 +42,14 @@
 
     @Override
     public void send(String id, String unit, long timeoutUs) {
-        turn.soon(() -> routeOut.send(open.get(id), unit, timeoutUs));
+        OpenReq req = open.get(id);
+        turn.soon(() -> routeOut.send(req, unit, timeoutUs));
     }
 
     @Override
     public void shed(String id, long pauseUs) {
+        OpenReq req = open.get(id);
         turn.soon(() -> {
-            OpenReq req = open.get(id);
             relayBack.shed(req, pauseUs);
             book.settle(req);
         });
@@ -56,8 +57,8 @@
 
     @Override
     public void error(String id) {
+        OpenReq req = open.get(id);
         turn.soon(() -> {
-            OpenReq req = open.get(id);
             relayBack.errored(req);
             book.settle(req);
         });
@@ -65,7 +66,8 @@
 
     @Override
     public void cancel(String id, int tryNo) {
-        turn.soon(() -> open.get(id).callOff(tryNo).run());
+        OpenReq req = open.get(id);
+        turn.soon(() -> req.callOff(tryNo).run());
     }
 
     @Override
--- a/src/main/java/gatelock/wire/SendOff.java
+++ b/src/main/java/gatelock/wire/SendOff.java
@@ -62,7 +62,7 @@
 
         /** Closes the connection: that is how a unit learns that nobody waits any more. */
         private void giveUp(Ending ending) {
-            if (!ended) {
+            if (!ended && line != null) {
                 line.drop();
                 end(ending, null);
             }
