--- /dev/null
+++ b/src/main/java/gatelock/boot/Rehearsal.java
@@ -0,0 +1,122 @@
+package gatelock.boot;
+
+import gatelock.kept.Counters;
+import gatelock.kept.UnitAnswer;
+import gatelock.relay.Gate;
+import gatelock.relay.Listed;
+import gatelock.relay.Route;
+import gatelock.wire.Front;
+import gatelock.wire.Line;
+import gatelock.wire.Lines;
+import gatelock.wire.Turn;
+
+import io.undertow.server.HttpServerExchange;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Before a relay says that it is ready it serves itself for a while: a chain of its own, with decisions that
+ * are thrown away, takes reqs from this very process and sends them to it as to units. Guards against a cold
+ * virtual machine that meets a whole relay's load in its first second, falls behind and stays there.
+ */
+final class Rehearsal {
+    private static final long LONGEST_US = 8_000_000;
+    private static final int REQS = 60_000;
+    private static final int AT_ONCE = 24;
+    private static final int UNITS = 20;
+    private static final byte[] ANSWER = new byte[200];
+
+    private final Configuration told;
+    private final Turn turn;
+    private final Front front;
+    private final Runnable then;
+    private final Chain chain;
+    private final Lines clients;
+    private final long endUs;
+    private int asked;
+    private int running;
+    private boolean over;
+
+    Rehearsal(Configuration told, Turn turn, Front front, Runnable then) {
+        this.told = told;
+        this.turn = turn;
+        this.front = front;
+        this.then = then;
+        this.chain = new Chain(told, turn, new Counters(), front, false);
+        this.clients = new Lines(turn, new Counters(), 1_000_000, 1_000_000, AT_ONCE);
+        this.endUs = turn.nowUs() + LONGEST_US;
+    }
+
+    void begin() {
+        chain.gate.start(turn.nowUs());
+        List<Listed> units = new ArrayList<>();
+        for (int i = 0; i < UNITS; i++) {
+            units.add(new Listed("rehearsal-" + i, i % 4 == 0 ? 1 : 0, i % 2, i % 2, 0, Listed.Health.READY, 0));
+            chain.addresses.put(told.listen(), units.get(i));
+        }
+        chain.gate.listed(turn.nowUs(), Gate.ListForm.FULL, units);
+        chain.gate.news(turn.nowUs(), 1, 0, Gate.Phase.TRIAL, 0.3, 0, Gate.VoteAnswer.NOT_ASKED);
+        front.admit(this::handle, false);
+        for (int i = 0; i < AT_ONCE; i++) {
+            running++;
+            ask();
+        }
+        turn.in(LONGEST_US, this::end);
+    }
+
+    /** The same req comes twice: first from a client, then as to a unit, while the first is still open. */
+    private void handle(HttpServerExchange exchange) throws Exception {
+        String id = exchange.getRequestHeaders().getFirst("X-Trace-Id");
+        if (id == null || chain.open.get(id) == null) {
+            chain.takeIn.handleRequest(exchange);
+        } else {
+            exchange.getRequestReceiver().receiveFullBytes((ex, body) ->
+                ex.getResponseSender().send(ByteBuffer.wrap(ANSWER)));
+        }
+    }
+
+    private void ask() {
+        if (over || asked >= REQS || turn.nowUs() >= endUs) {
+            running--;
+            if (running == 0) {
+                end();
+            }
+            return;
+        }
+        int n = asked++;
+        List<Route> routes = told.charter().routes();
+        int route = n % routes.size();
+        boolean get = routes.get(route).repeat() == Route.Repeat.RETRIABLE;
+        String name = told.settings().get("lanes." + route + ".name");
+        String body = get ? "" : "0".repeat(200);
+        String text = (get ? "GET /" : "POST /") + name + " HTTP/1.1\r\nHost: rehearsal\r\nX-Trace-Id: rehearsal-" + n
+            + "\r\nX-Customer: none\r\nCookie: k=" + Integer.toHexString(n % 1000) + "\r\nX-Expires-In-Ms: 2000\r\n"
+            + "X-Size-Hint: 2000\r\n" + (get ? "" : "Idempotency-Key: " + n + "\r\nContent-Length: 200\r\n") + "\r\n"
+            + body;
+        clients.call(told.listen(), new ByteBuffer[] {ByteBuffer.wrap(text.getBytes(StandardCharsets.US_ASCII))},
+            new Line.User() {
+                @Override
+                public void answered(UnitAnswer answer) {
+                    turn.soon(Rehearsal.this::ask);
+                }
+
+                @Override
+                public void broken(boolean written) {
+                    turn.in(1_000, Rehearsal.this::ask);
+                }
+            });
+    }
+
+    private void end() {
+        if (!over) {
+            over = true;
+            chain.orders.stop();
+            clients.stop();
+            chain.units.stop();
+            then.run();
+        }
+    }
+}
--- a/src/main/java/gatelock/boot/Service.java
+++ b/src/main/java/gatelock/boot/Service.java
@@ -1,21 +1,7 @@
 package gatelock.boot;
 
-import gatelock.decision.ReleaseGate;
-import gatelock.kept.Addresses;
 import gatelock.kept.Counters;
-import gatelock.kept.OpenReqs;
-import gatelock.relay.Gate;
-import gatelock.wire.Admit;
-import gatelock.wire.Book;
-import gatelock.wire.Desk;
-import gatelock.wire.Discovery;
 import gatelock.wire.Front;
-import gatelock.wire.Lines;
-import gatelock.wire.Orders;
-import gatelock.wire.RelayBack;
-import gatelock.wire.RouteOut;
-import gatelock.wire.SendOff;
-import gatelock.wire.TakeIn;
 import gatelock.wire.Turn;
 
 import org.xnio.OptionMap;
@@ -25,7 +11,6 @@
 
 import java.io.IOException;
 import java.lang.System.Logger.Level;
-import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 
 /** One running relay: puts the parts together on one I/O thread, starts them, and takes leave on SIGTERM. */
@@ -38,7 +23,6 @@
     private final Configuration told;
     private final Turn turn;
     private final Counters counters = new Counters();
-    private final OpenReqs open = new OpenReqs();
     private Front front;
 
     private Service(Configuration told, Turn turn) {
@@ -66,41 +50,29 @@
 
     private void run() {
         try {
-            assemble();
+            front = new Front(turn, counters, told.sockets() * 5 / 8);
+            front.listen(told.listen());
+            new Rehearsal(told, turn, front, this::serve).begin();
         } catch (IOException e) {
-            System.err.println("gatelock: " + e.getMessage());
-            Runtime.getRuntime().halt(2);
+            give(e);
         }
     }
 
-    private void assemble() throws IOException {
-        long dialUs = told.us("limits.dialTimeoutNs");
-        Addresses addresses = new Addresses();
-        // An idle connection is closed well before the unit would, so that no req crosses its end.
-        Lines units = new Lines(turn, counters, dialUs, told.us("limits.connIdleNs") * 3 / 4, told.sockets() / 8);
-        Lines platform = new Lines(turn, counters, 1_000_000, 4_000_000, 8);
-        RelayBack relayBack = new RelayBack(turn, open, counters);
-        Book book = new Book(turn, open, counters, relayBack);
-        RouteOut routeOut = new RouteOut(addresses, new SendOff(turn, units, book));
-        Desk desk = new Desk(turn, counters, platform, told.desk(), told.charter().rollout().voteWaitUs());
-        Discovery discovery = new Discovery(turn, counters, platform, told.discovery(), addresses, units,
-            told.plain("zones"), told.plain("flavors"), told.charter().mustAskForList(),
-            new SplittableRandom(told.charter().seed() + 1));
-        Orders orders = new Orders(turn, open);
-        Gate gate = new ReleaseGate(told.charter(), orders);
-        orders.bind(gate, routeOut, relayBack, book, desk, discovery);
-        front = new Front(turn, open, counters, told.sockets() * 5 / 8);
-        TakeIn takeIn = new TakeIn(turn, counters, new TakeIn.Names(told.numbered("lanes"),
-            told.numbered("orgs"), told.charter().routes(), told.eachUs("lanes", "deadlineNs")),
-            new Admit(turn, open, counters, book, gate), front);
+    private void serve() {
+        try {
+            Chain chain = new Chain(told, turn, counters, front, true);
+            chain.start();
+            front.admit(chain.takeIn, true);
+            LOG.log(Level.INFO, told.name() + " serves on " + told.listen());
+            turn.in(COUNTERS_EVERY_US, this::tellCounters);
+        } catch (IOException e) {
+            give(e);
+        }
+    }
 
-        gate.start(turn.nowUs());
-        discovery.start(gate, told.known());
-        desk.start(gate, told.news());
-        front.listen(told.listen(), takeIn);
-        front.admitting();
-        LOG.log(Level.INFO, told.name() + " serves on " + told.listen());
-        turn.in(COUNTERS_EVERY_US, this::tellCounters);
+    private void give(IOException e) {
+        System.err.println("gatelock: " + e.getMessage());
+        Runtime.getRuntime().halt(2);
     }
 
     private void tellCounters() {
--- a/src/main/java/gatelock/wire/Front.java
+++ b/src/main/java/gatelock/wire/Front.java
@@ -1,7 +1,6 @@
 package gatelock.wire;
 
 import gatelock.kept.Counters;
-import gatelock.kept.OpenReqs;
 
 import io.undertow.UndertowOptions;
 import io.undertow.server.DefaultByteBufferPool;
@@ -30,30 +29,29 @@
     private static final long LOOK_AGAIN_US = 50_000;
 
     private final Turn turn;
-    private final OpenReqs open;
     private final Counters counters;
     private final int most;
     private final Map<ServerConnection, HttpServerExchange> clients = new LinkedHashMap<>();
     private AcceptingChannel<StreamConnection> listener;
+    private HttpHandler takeIn;
     private boolean ready;
     private boolean leaving;
 
     /** @param most client connections held at a time; further ones wait to be accepted */
-    public Front(Turn turn, OpenReqs open, Counters counters, int most) {
+    public Front(Turn turn, Counters counters, int most) {
         this.turn = turn;
-        this.open = open;
         this.counters = counters;
         this.most = most;
     }
 
-    /** Listens; connections that come before {@link #admitting} find this relay not ready. */
-    public void listen(InetSocketAddress address, HttpHandler takeIn) throws IOException {
+    /** Listens; until {@link #admit} says that it is ready, a relay is not ready for clients. */
+    public void listen(InetSocketAddress address) throws IOException {
         OptionMap http = OptionMap.builder().set(UndertowOptions.MAX_HEADER_SIZE, 16 * 1024)
             .set(UndertowOptions.ALWAYS_SET_DATE, false).set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
             .set(UndertowOptions.NO_REQUEST_TIMEOUT, 120_000).getMap();
         HttpOpenListener opened = new HttpOpenListener(
             new DefaultByteBufferPool(true, BUFFER_BYTES, 200, 0, 0), http);
-        opened.setRootHandler(takeIn);
+        opened.setRootHandler(this::handle);
         OptionMap socket = OptionMap.builder().set(Options.TCP_NODELAY, true).set(Options.REUSE_ADDRESSES, true)
             .set(Options.BACKLOG, 1024).set(Options.CONNECTION_HIGH_WATER, most)
             .set(Options.CONNECTION_LOW_WATER, most - 1).getMap();
@@ -62,16 +60,28 @@
         listener.resumeAccepts();
     }
 
-    public void admitting() {
-        ready = true;
+    /** Names who takes reqs in from now on. */
+    public void admit(HttpHandler takeIn, boolean ready) {
+        this.takeIn = takeIn;
+        this.ready = ready;
     }
 
-    boolean ready() {
-        return ready && !leaving;
+    private void handle(HttpServerExchange exchange) throws Exception {
+        busy(exchange);
+        String path = exchange.getRequestPath();
+        if (path.startsWith("/-/")) {
+            boolean isReady = path.equals("/-/ready");
+            exchange.setStatusCode(isReady && ready && !leaving || path.equals("/-/healthy") ? 200 : isReady ? 503
+                : 404);
+            last(exchange);
+            exchange.endExchange();
+        } else {
+            takeIn.handleRequest(exchange);
+        }
     }
 
     /** Notes the connection a req came on, so that it is known which stand between reqs. */
-    void busy(HttpServerExchange exchange) {
+    private void busy(HttpServerExchange exchange) {
         ServerConnection connection = exchange.getConnection();
         if (!clients.containsKey(connection)) {
             connection.addCloseListener(clients::remove);
@@ -120,7 +130,7 @@
                 IoUtils.safeClose(e.getKey());
             }
         }
-        if (open.unanswered() == 0 && clients.isEmpty()) {
+        if (clients.isEmpty()) {
             then.run();
         } else {
             turn.in(LOOK_AGAIN_US, () -> closeWhenDone(then));
--- a/src/main/java/gatelock/wire/Line.java
+++ b/src/main/java/gatelock/wire/Line.java
@@ -18,11 +18,11 @@
  * A connection that this relay opens, with one call on it at a time. It sends nothing twice, and it sees
  * whether a call's last byte was written: what ended before that has never run.
  */
-final class Line {
+public final class Line {
     private static final OptionMap OPTIONS = OptionMap.create(Options.TCP_NODELAY, true);
 
     /** Whoever made a call; hears once how it ended, never while the call is being made. */
-    interface User {
+    public interface User {
         void answered(UnitAnswer answer);
 
         /** No whole, readable answer came; {@code written}: the last byte of the call was written before. */
@@ -136,6 +136,7 @@
                 reader.read(in);
                 if (reader.whole()) {
                     finish(reader.lasting() && written && !in.hasRemaining());
+                    return;
                 }
             }
         } catch (IOException | UnreadableAnswer e) {
--- a/src/main/java/gatelock/wire/Lines.java
+++ b/src/main/java/gatelock/wire/Lines.java
@@ -14,6 +14,7 @@
     private final Idle<Line> idle;
     private final long openWithinUs;
     private final long idleUs;
+    private boolean stopped;
 
     /**
      * @param openWithinUs a connection that is not up by then has failed
@@ -30,12 +31,20 @@
     }
 
     private void sweep() {
-        idle.closeBefore(turn.nowUs() - idleUs);
-        turn.in(Math.min(1_000_000, idleUs / 4), this::sweep);
+        idle.closeBefore(stopped ? Long.MAX_VALUE : turn.nowUs() - idleUs);
+        if (!stopped) {
+            turn.in(Math.min(1_000_000, idleUs / 4), this::sweep);
+        }
+    }
+
+    /** Closes the idle ones; nothing is called any more. */
+    public void stop() {
+        stopped = true;
+        sweep();
     }
 
     /** Makes one call, on a connection that stands or on a new one. */
-    Line call(InetSocketAddress address, ByteBuffer[] call, Line.User user) {
+    public Line call(InetSocketAddress address, ByteBuffer[] call, Line.User user) {
         for (Line line = idle.take(address); line != null; line = idle.take(address)) {
             if (line.stands()) {
                 line.call(call, null, user);
@@ -61,6 +70,9 @@
 
     void idle(Line line) {
         idle.put(turn.nowUs(), line.address(), line);
+        if (stopped) {
+            sweep();
+        }
     }
 
     void gone(Line line) {
--- a/src/main/java/gatelock/wire/Orders.java
+++ b/src/main/java/gatelock/wire/Orders.java
@@ -23,13 +23,14 @@
     private Desk desk;
     private Discovery discovery;
     private Gate gate;
+    private boolean stopped;
 
     public Orders(Turn turn, OpenReqs open) {
         this.turn = turn;
         this.open = open;
     }
 
-    /** Names who carries them out, before the first one is given. */
+    /** Names who carries them out, before the first one is given; without a desk, votes go nowhere. */
     public void bind(Gate gate, RouteOut routeOut, RelayBack relayBack, Book book, Desk desk,
                      Discovery discovery) {
         this.gate = gate;
@@ -40,6 +41,11 @@
         this.discovery = discovery;
     }
 
+    /** From now on no timer calls the decisions any more. */
+    public void stop() {
+        stopped = true;
+    }
+
     @Override
     public void send(String id, String unit, long timeoutUs) {
         OpenReq req = open.get(id);
@@ -72,12 +78,18 @@
 
     @Override
     public void vote(int build, int stage, Verdict verdict) {
-        turn.soon(() -> desk.vote(build, stage, verdict));
+        if (desk != null) {
+            turn.soon(() -> desk.vote(build, stage, verdict));
+        }
     }
 
     @Override
     public void timer(long inUs, long token) {
-        turn.in(inUs, () -> gate.due(turn.nowUs(), token));
+        turn.in(inUs, () -> {
+            if (!stopped) {
+                gate.due(turn.nowUs(), token);
+            }
+        });
     }
 
     @Override
--- a/src/main/java/gatelock/wire/TakeIn.java
+++ b/src/main/java/gatelock/wire/TakeIn.java
@@ -11,6 +11,7 @@
 import io.undertow.io.IoCallback;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.handlers.Cookie;
 import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HeaderValues;
@@ -25,7 +26,6 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 
@@ -53,7 +53,7 @@
     private final Admit admit;
     private final Front front;
 
-    public TakeIn(Turn turn, Counters counters, Names names, Admit admit, Front front) {
+    public TakeIn(Counters counters, Names names, Turn turn, Admit admit, Front front) {
         this.turn = turn;
         this.counters = counters;
         this.names = names;
@@ -63,13 +63,7 @@
 
     @Override
     public void handleRequest(HttpServerExchange exchange) {
-        front.busy(exchange);
         String path = exchange.getRequestPath();
-        if (path.startsWith("/-/")) {
-            boolean good = path.equals("/-/ready") ? front.ready() : path.equals("/-/healthy");
-            refuse(exchange, good ? 200 : path.equals("/-/ready") ? 503 : 404);
-            return;
-        }
         long length = exchange.getRequestContentLength();
         int slash = path.indexOf('/', 1);
         Integer route = names.routes.get(path.substring(Math.min(1, path.length()), slash < 0 ? path.length()
@@ -135,7 +129,8 @@
         OpenReq req = new OpenReq(id, head(exchange, body.length), body, endUs, caller);
         caller.req = req;
         int org = tenant == null ? names.tenants.size() : tenant;
-        long key = key(exchange.getRequestCookie("k") == null ? null : exchange.getRequestCookie("k").getValue());
+        Cookie cookie = exchange.getRequestCookie("k");
+        long key = key(cookie == null ? null : cookie.getValue());
         long costUs = Math.max(0, number(headers.getFirst(HINT), 0));
         // Undertow ends an exchange whose handler returns without having dispatched it.
         exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
@@ -252,8 +247,7 @@
         public void shed(long pauseUs) {
             exchange.setStatusCode(503);
             if (pauseUs > 0) {
-                exchange.getResponseHeaders().put(Headers.RETRY_AFTER,
-                    String.format(Locale.ROOT, "%.3f", pauseUs / 1e6));
+                exchange.getResponseHeaders().put(Headers.RETRY_AFTER, Double.toString(pauseUs / 1000 / 1e3));
             }
             answer(new byte[0]);
         }
