--- a/examples/Toy.java
+++ b/examples/Toy.java
@@ -19,6 +19,7 @@
     }
 
     public static void main(String[] args) throws IOException {
+        System.setProperty("sun.net.httpserver.nodelay", "true");
         unit("a", 8481);
         unit("b", 8482);
         HttpServer discovery = server(8500);
