A call's time limit lives in Line; relays that must ask for their list rehearse to the end

Defects, each with a test that fails without its mend: where the list must be asked for, Orders.followList met no Discovery during the rehearsal, the rehearsal broke off and the relay was never ready; a time in the settings or an address that can't be read was noticed only after the start, and the program stood unready in place of ending with one line and code 2.

Simpler: the limit of a try, a vote and a call for the list was written three times, now once in Line (User.late); one buffer a call in place of arrays of one; address:port read in one place (Json.address); times in the settings read by Terms alone; a chain without a platform in place of a flag and null parts; the 64 KiB of the protocol named once; the id of a req looked up once. Idle knows each connection's address and no longer searches all of them.

--- a/src/main/java/gatelock/bench/Terms.java
+++ b/src/main/java/gatelock/bench/Terms.java
@@ -70,6 +70,11 @@
             (warmNs + 999) / 1000, t.real("safety.overloadFactor", 1), t.us("safety.fallNs"), rollout);
     }
 
+    /** One time, in microseconds; 0 where it is absent. */
+    public static long us(Map<String, String> pairs, String path) {
+        return new Terms(pairs).us(path);
+    }
+
     private long us(String path) {
         return atLeastOne(whole(path, 0));
     }
--- a/src/main/java/gatelock/boot/Configuration.java
+++ b/src/main/java/gatelock/boot/Configuration.java
@@ -17,7 +17,8 @@
 
 /** What a relay is told when it starts, read from one JSON file. */
 record Configuration(String name, InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress desk,
-                     int sockets, Json known, Json news, Charter charter, Map<String, String> settings) {
+                     int sockets, Json known, Json news, Charter charter, long openWithinUs, long idleUs,
+                     List<Long> deadlinesUs, Map<String, String> settings) {
 
     /** Reads it whole; whatever is missing or odd is told in one message. */
     static Configuration read(Path file) throws IOException {
@@ -30,19 +31,19 @@
             if (charter.routes().isEmpty()) {
                 throw new IOException("expected routes in the settings");
             }
-            return new Configuration(all.text("name"), address(all.text("listen")),
-                address(all.text("discovery")), address(deployer.text("address")),
-                (int) all.object("limits").whole("sockets"), all.object("known"), deployer.object("news"),
-                charter, settings);
+            List<Long> deadlinesUs = new ArrayList<>();
+            for (int i = 0; i < charter.routes().size(); i++) {
+                deadlinesUs.add(Terms.us(settings, "lanes." + i + ".deadlineNs"));
+            }
+            return new Configuration(all.text("name"), all.address("listen"), all.address("discovery"),
+                deployer.address("address"), (int) all.object("limits").whole("sockets"), all.object("known"),
+                deployer.object("news"), charter, Terms.us(settings, "limits.dialTimeoutNs"),
+                Terms.us(settings, "limits.connIdleNs"), deadlinesUs, settings);
         } catch (MalformedLine e) {
             throw new IOException(e.getMessage(), e);
         }
     }
 
-    long us(String path) {
-        return (long) (Double.parseDouble(settings.getOrDefault(path, "0")) / 1000);
-    }
-
     /** The names under a list of objects, by place. */
     Map<String, Integer> numbered(String list) {
         Map<String, Integer> names = new LinkedHashMap<>();
@@ -56,14 +57,6 @@
         return List.of(settings.getOrDefault(list, "").split(","));
     }
 
-    List<Long> eachUs(String list, String field) {
-        List<Long> found = new ArrayList<>();
-        for (int i = 0; settings.containsKey(list + "." + i + "." + field); i++) {
-            found.add(us(list + "." + i + "." + field));
-        }
-        return found;
-    }
-
     /** Nested JSON as the path=value pairs that the simulator's wire has. */
     private static void flatten(String path, Object value, Map<String, String> pairs) {
         if (value instanceof Map<?, ?> map) {
@@ -87,14 +80,4 @@
             throw new IOException("expected seed as hex digits, found " + text, e);
         }
     }
-
-    private static InetSocketAddress address(String text) throws IOException {
-        int colon = text.lastIndexOf(':');
-        try {
-            return new InetSocketAddress(text.substring(0, Math.max(0, colon)),
-                Integer.parseInt(text.substring(colon + 1)));
-        } catch (IllegalArgumentException e) {
-            throw new IOException("expected address:port, found " + text, e);
-        }
-    }
 }
--- a/src/main/java/gatelock/boot/Rehearsal.java
+++ b/src/main/java/gatelock/boot/Rehearsal.java
@@ -38,7 +38,6 @@
     private final Counters counters = new Counters();
     private final Chain chain;
     private final Lines clients;
-    private final long endUs;
     private int asked;
     private int running;
     private boolean over;
@@ -48,9 +47,8 @@
         this.turn = turn;
         this.front = front;
         this.then = then;
-        this.chain = new Chain(told, turn, counters, front, false);
+        this.chain = new Chain(told, turn, counters, front);
         this.clients = new Lines(turn, new Counters(), 1_000_000, 1_000_000, AT_ONCE);
-        this.endUs = turn.nowUs() + LONGEST_US;
     }
 
     void begin() {
@@ -82,7 +80,7 @@
     }
 
     private void ask() {
-        if (over || asked >= REQS || turn.nowUs() >= endUs) {
+        if (over || asked >= REQS) {
             running--;
             if (running == 0) {
                 end();
@@ -99,7 +97,7 @@
             + "\r\nX-Customer: none\r\nCookie: k=" + Integer.toHexString(n % 1000) + "\r\nX-Expires-In-Ms: 2000\r\n"
             + "X-Size-Hint: 2000\r\n" + (get ? "" : "Idempotency-Key: " + n + "\r\nContent-Length: 200\r\n") + "\r\n"
             + body;
-        clients.call(told.listen(), new ByteBuffer[] {ByteBuffer.wrap(text.getBytes(StandardCharsets.US_ASCII))},
+        clients.call(told.listen(), StandardCharsets.US_ASCII.encode(text), 0,
             new Line.User() {
                 @Override
                 public void answered(UnitAnswer answer) {
--- a/src/main/java/gatelock/boot/Service.java
+++ b/src/main/java/gatelock/boot/Service.java
@@ -67,7 +67,7 @@
 
     private void serve() {
         try {
-            Chain chain = new Chain(told, turn, counters, front, true);
+            Chain chain = new Chain(told, turn, counters, front);
             chain.start();
             front.admit(chain.takeIn, true);
             LOG.log(Level.INFO, told.name() + " serves on " + told.listen());
--- a/src/main/java/gatelock/kept/Idle.java
+++ b/src/main/java/gatelock/kept/Idle.java
@@ -3,7 +3,6 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.function.Consumer;
@@ -11,10 +10,13 @@
 /** Connections that stand without a call, by address; the one that was used last is taken first. */
 public final class Idle<C> {
     private final Map<InetSocketAddress, ArrayDeque<C>> byAddress = new HashMap<>();
-    private final Map<C, Long> sinceUs = new LinkedHashMap<>();
+    private final Map<C, Since> since = new LinkedHashMap<>();
     private final Consumer<C> close;
     private final int most;
 
+    private record Since(InetSocketAddress address, long us) {
+    }
+
     /**
      * @param most how many are kept at all; beyond that the longest idle goes
      * @param close ends one of them
@@ -27,21 +29,22 @@
     public C take(InetSocketAddress address) {
         ArrayDeque<C> there = byAddress.get(address);
         C found = there == null ? null : there.pollLast();
-        sinceUs.remove(found);
+        since.remove(found);
         return found;
     }
 
     public void put(long nowUs, InetSocketAddress address, C connection) {
         byAddress.computeIfAbsent(address, a -> new ArrayDeque<>()).addLast(connection);
-        sinceUs.put(connection, nowUs);
-        if (sinceUs.size() > most) {
+        since.put(connection, new Since(address, nowUs));
+        if (since.size() > most) {
             closeOldest();
         }
     }
 
-    public void remove(InetSocketAddress address, C connection) {
-        if (sinceUs.remove(connection) != null) {
-            byAddress.get(address).remove(connection);
+    public void remove(C connection) {
+        Since was = since.remove(connection);
+        if (was != null) {
+            byAddress.get(was.address).remove(connection);
         }
     }
 
@@ -55,16 +58,14 @@
 
     /** Closes what stood idle since before that time. */
     public void closeBefore(long timeUs) {
-        while (!sinceUs.isEmpty() && sinceUs.values().iterator().next() < timeUs) {
+        while (!since.isEmpty() && since.values().iterator().next().us < timeUs) {
             closeOldest();
         }
     }
 
     private void closeOldest() {
-        Iterator<C> oldest = sinceUs.keySet().iterator();
-        C connection = oldest.next();
-        oldest.remove();
-        byAddress.values().forEach(there -> there.remove(connection));
+        C connection = since.keySet().iterator().next();
+        remove(connection);
         close.accept(connection);
     }
 }
--- a/src/main/java/gatelock/kept/OpenReq.java
+++ b/src/main/java/gatelock/kept/OpenReq.java
@@ -71,10 +71,6 @@
         return calledOff.size() - 1;
     }
 
-    public int tries() {
-        return calledOff.size();
-    }
-
     public Runnable callOff(int tryNo) {
         return calledOff.get(tryNo);
     }
--- a/src/main/java/gatelock/wire/AnswerReader.java
+++ b/src/main/java/gatelock/wire/AnswerReader.java
@@ -13,7 +13,8 @@
 /** Reads one HTTP/1.1 answer from the pieces in which it comes. */
 final class AnswerReader {
     private static final int MOST_LINE = 16 * 1024;
-    private static final int MOST_BODY = 64 * 1024;
+    /** The most that any body may hold, in the protocol. */
+    static final int MOST_BODY = 64 * 1024;
 
     private enum Part { STATUS, HEADERS, BODY, TO_THE_END, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILERS, WHOLE }
 
--- a/src/main/java/gatelock/wire/Desk.java
+++ b/src/main/java/gatelock/wire/Desk.java
@@ -11,7 +11,6 @@
 import java.io.IOException;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
-import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.Map;
@@ -54,13 +53,11 @@
 
     void vote(int build, int stage, Verdict verdict) {
         counters.add("votes");
-        byte[] body = ("{\"release\":" + build + ",\"tranche\":" + stage + ",\"ruling\":\""
-            + verdict.name().toLowerCase(Locale.ROOT) + "\"}").getBytes(StandardCharsets.US_ASCII);
-        byte[] head = ("POST " + BASE + "judgements HTTP/1.1\r\nHost: desk\r\nContent-Type: application/json\r\n"
-            + "Content-Length: " + body.length + "\r\n\r\n").getBytes(StandardCharsets.US_ASCII);
-        ByteBuffer call = ByteBuffer.allocate(head.length + body.length);
-        call.put(head).put(body).flip();
-        new Vote().begin(call);
+        String body = "{\"release\":" + build + ",\"tranche\":" + stage + ",\"ruling\":\""
+            + verdict.name().toLowerCase(Locale.ROOT) + "\"}";
+        String call = "POST " + BASE + "judgements HTTP/1.1\r\nHost: desk\r\nContent-Type: application/json\r\n"
+            + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+        lines.call(address, StandardCharsets.US_ASCII.encode(call), voteWaitUs, new Vote());
     }
 
     private void told(Json news, Gate.VoteAnswer answer) throws IOException {
@@ -82,20 +79,8 @@
 
     /** One vote; one whose answer can't be read may have counted. */
     private final class Vote implements Line.User {
-        private XnioExecutor.Key limit;
-        private Line line;
-
-        void begin(ByteBuffer call) {
-            limit = turn.in(voteWaitUs, () -> {
-                line.drop();
-                without(Gate.VoteAnswer.TIMED_OUT);
-            });
-            line = lines.call(address, new ByteBuffer[] {call}, this);
-        }
-
         @Override
         public void answered(UnitAnswer answer) {
-            limit.remove();
             switch (answer.status()) {
                 case 200 -> {
                     try {
@@ -114,9 +99,13 @@
 
         @Override
         public void broken(boolean written) {
-            limit.remove();
             without(written ? Gate.VoteAnswer.TIMED_OUT : Gate.VoteAnswer.ERROR);
         }
+
+        @Override
+        public void late() {
+            without(Gate.VoteAnswer.TIMED_OUT);
+        }
     }
 
     /** A connection on which news come unasked. Nothing more is ever written to it. */
@@ -127,10 +116,9 @@
 
         void begin() {
             counters.add("news connections");
-            byte[] call = ("GET " + BASE + "changes HTTP/1.1\r\nHost: desk\r\n\r\n")
-                .getBytes(StandardCharsets.US_ASCII);
+            String call = "GET " + BASE + "changes HTTP/1.1\r\nHost: desk\r\n\r\n";
             quiet = turn.in(QUIET_US, this::quiet);
-            line = lines.open(address, new ByteBuffer[] {ByteBuffer.wrap(call)}, this::came, this);
+            line = lines.stream(address, StandardCharsets.US_ASCII.encode(call), this::came, this);
         }
 
         private void came(byte[] some) {
--- a/src/main/java/gatelock/wire/Discovery.java
+++ b/src/main/java/gatelock/wire/Discovery.java
@@ -6,12 +6,9 @@
 import gatelock.relay.Gate;
 import gatelock.relay.Listed;
 
-import org.xnio.XnioExecutor;
-
 import java.io.IOException;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
-import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -80,8 +77,9 @@
     private void ask() {
         boolean watch = index >= 0;
         String path = watch ? "/api/targets?from=" + index + "&hold_ms=" + HOLD_MS : "/api/targets";
-        byte[] call = ("GET " + path + " HTTP/1.1\r\nHost: discovery\r\n\r\n").getBytes(StandardCharsets.US_ASCII);
-        new Asked().begin(call, GRACE_US + (watch ? HOLD_MS * 1000 : 0));
+        String call = "GET " + path + " HTTP/1.1\r\nHost: discovery\r\n\r\n";
+        lines.call(address, StandardCharsets.US_ASCII.encode(call), GRACE_US + (watch ? HOLD_MS * 1000 : 0),
+            new Asked());
     }
 
     private void told(UnitAnswer answer) {
@@ -119,17 +117,14 @@
         List<Listed> entries = new ArrayList<>();
         for (Json e : list.objects("endpoints")) {
             String unit = e.text("name");
-            String at = e.text("address");
-            int colon = at.lastIndexOf(':');
             Listed.Health health = HEALTH.get(e.text("status"));
-            if (health == null || colon < 0) {
-                throw new IOException("expected a known status and an address with a port for " + unit);
+            if (health == null) {
+                throw new IOException("expected a known status for " + unit);
             }
+            InetSocketAddress where = e.address("address");
             Listed listed = new Listed(unit, (int) e.whole("image_id"), number(zones, e, "zone"),
                 number(kinds, e, "type"), (int) e.wholeOr("group", 0), health, e.wholeOr("since_ms", 0) * 1000);
             entries.add(listed);
-            InetSocketAddress where = new InetSocketAddress(at.substring(0, colon),
-                port(at.substring(colon + 1)));
             Addresses.Place before = addresses.put(where, listed);
             if (before != null) {
                 units.close(before.address());
@@ -138,40 +133,24 @@
         return entries;
     }
 
-    private static int port(String text) throws IOException {
-        try {
-            return Integer.parseInt(text);
-        } catch (NumberFormatException e) {
-            throw new IOException("expected a port, found " + text);
-        }
-    }
-
     private static int number(List<String> names, Json entry, String field) {
         return Math.max(0, names.indexOf(entry.textOr(field, "")));
     }
 
-    /** One call, with a time by which it has failed. */
+    /** One call for the list. */
     private final class Asked implements Line.User {
-        private XnioExecutor.Key limit;
-        private Line line;
-
-        void begin(byte[] call, long withinUs) {
-            limit = turn.in(withinUs, () -> {
-                line.drop();
-                failed();
-            });
-            line = lines.call(address, new ByteBuffer[] {ByteBuffer.wrap(call)}, this);
-        }
-
         @Override
         public void answered(UnitAnswer answer) {
-            limit.remove();
             told(answer);
         }
 
         @Override
         public void broken(boolean written) {
-            limit.remove();
+            failed();
+        }
+
+        @Override
+        public void late() {
             failed();
         }
     }
--- a/src/main/java/gatelock/wire/Front.java
+++ b/src/main/java/gatelock/wire/Front.java
@@ -85,11 +85,10 @@
     /** Notes the connection a req came on, so that it is known which stand between reqs. */
     private void busy(HttpServerExchange exchange) {
         ServerConnection connection = exchange.getConnection();
-        if (!clients.containsKey(connection)) {
+        if (clients.remove(connection) == null) {
             counters.add("client connections");
             connection.addCloseListener(clients::remove);
         }
-        clients.remove(connection);
         clients.put(connection, exchange);
         if (clients.size() >= most) {
             closeLongestIdle();
--- a/src/main/java/gatelock/wire/Json.java
+++ b/src/main/java/gatelock/wire/Json.java
@@ -3,7 +3,9 @@
 import com.fasterxml.jackson.jr.ob.JSON;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 
@@ -18,10 +20,6 @@
         }
     }
 
-    public boolean has(String name) {
-        return fields.get(name) != null;
-    }
-
     public Json object(String name) throws IOException {
         return of(need(name), name);
     }
@@ -30,7 +28,7 @@
         if (!(need(name) instanceof List<?> list)) {
             throw new IOException("expected a list under " + name);
         }
-        List<Json> found = new java.util.ArrayList<>(list.size());
+        List<Json> found = new ArrayList<>(list.size());
         for (Object item : list) {
             found.add(of(item, name));
         }
@@ -48,16 +46,31 @@
         return fields.get(name) instanceof String text ? text : absent;
     }
 
-    public double number(String name) throws IOException {
-        if (need(name) instanceof Number number) {
-            return number.doubleValue();
+    /** Text of the form address:port. */
+    public InetSocketAddress address(String name) throws IOException {
+        String text = text(name);
+        int colon = text.lastIndexOf(':');
+        try {
+            if (colon > 0) {
+                return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+            }
+        } catch (IllegalArgumentException e) {
+            // falls through to the one message
         }
-        throw new IOException("expected a number under " + name);
+        throw new IOException("expected address:port under " + name + ", found " + text);
+    }
+
+    public double number(String name) throws IOException {
+        return numeric(name).doubleValue();
     }
 
     public long whole(String name) throws IOException {
+        return numeric(name).longValue();
+    }
+
+    private Number numeric(String name) throws IOException {
         if (need(name) instanceof Number number) {
-            return number.longValue();
+            return number;
         }
         throw new IOException("expected a number under " + name);
     }
--- a/src/main/java/gatelock/wire/Line.java
+++ b/src/main/java/gatelock/wire/Line.java
@@ -27,6 +27,10 @@
 
         /** No whole, readable answer came; {@code written}: the last byte of the call was written before. */
         void broken(boolean written);
+
+        /** The time for the call was over first, and it was given up. */
+        default void late() {
+        }
     }
 
     private final Turn turn;
@@ -35,7 +39,8 @@
     private StreamConnection connection;
     private IoFuture<StreamConnection> opening;
     private XnioExecutor.Key openLimit;
-    private ByteBuffer[] call;
+    private XnioExecutor.Key callLimit;
+    private ByteBuffer call;
     private AnswerReader reader;
     private User user;
     private boolean written;
@@ -51,10 +56,10 @@
         return address;
     }
 
-    /** Opens the connection and makes the first call on it. */
-    void open(long withinUs, ByteBuffer[] call, Consumer<byte[]> parts, User user) {
-        begin(call, parts, user);
-        openLimit = turn.in(withinUs, () -> {
+    /** Opens the connection and makes the first call on it; without a {@code callUs} it may take any time. */
+    void open(long openUs, ByteBuffer call, long callUs, Consumer<byte[]> parts, User user) {
+        begin(call, callUs, parts, user);
+        openLimit = turn.in(openUs, () -> {
             if (connection == null) {
                 end();
             }
@@ -69,12 +74,18 @@
     }
 
     /** Makes one more call on a connection that stands idle. */
-    void call(ByteBuffer[] call, Consumer<byte[]> parts, User user) {
-        begin(call, parts, user);
+    void call(ByteBuffer call, long callUs, User user) {
+        begin(call, callUs, null, user);
         write();
     }
 
-    private void begin(ByteBuffer[] call, Consumer<byte[]> parts, User user) {
+    private void begin(ByteBuffer call, long callUs, Consumer<byte[]> parts, User user) {
+        if (callUs > 0) {
+            callLimit = turn.in(callUs, () -> {
+                drop();
+                user.late();
+            });
+        }
         this.call = call;
         this.user = user;
         reader = new AnswerReader(parts);
@@ -99,8 +110,8 @@
             return;
         }
         try {
-            while (call[call.length - 1].hasRemaining()) {
-                if (connection.getSinkChannel().write(call, 0, call.length) == 0) {
+            while (call.hasRemaining()) {
+                if (connection.getSinkChannel().write(call) == 0) {
                     connection.getSinkChannel().resumeWrites();
                     return;
                 }
@@ -154,8 +165,7 @@
     }
 
     private void finish(boolean keep) {
-        User caller = user;
-        user = null;
+        User caller = callOver();
         if (keep) {
             home.idle(this);
         } else {
@@ -166,10 +176,21 @@
 
     /** Gives the call up, or the idle connection; whoever made the call hears nothing more of it. */
     void drop() {
-        user = null;
+        callOver();
         end();
     }
 
+    /** Ends the call, if one is on; whoever made it is to hear of it at most once from here. */
+    private User callOver() {
+        if (callLimit != null) {
+            callLimit.remove();
+            callLimit = null;
+        }
+        User caller = user;
+        user = null;
+        return caller;
+    }
+
     private void end() {
         if (ended) {
             return;
@@ -182,8 +203,7 @@
             opening.cancel();
         }
         home.gone(this);
-        User caller = user;
-        user = null;
+        User caller = callOver();
         if (caller != null) {
             caller.broken(written);
         }
--- a/src/main/java/gatelock/wire/Lines.java
+++ b/src/main/java/gatelock/wire/Lines.java
@@ -43,23 +43,28 @@
         sweep();
     }
 
-    /** Makes one call, on a connection that stands or on a new one. */
-    public Line call(InetSocketAddress address, ByteBuffer[] call, Line.User user) {
+    /** Makes one call, on a connection that stands or on a new one; it is given up after {@code callUs}. */
+    public Line call(InetSocketAddress address, ByteBuffer call, long callUs, Line.User user) {
         for (Line line = idle.take(address); line != null; line = idle.take(address)) {
             if (line.stands()) {
-                line.call(call, null, user);
+                line.call(call, callUs, user);
                 return line;
             }
             line.drop();
         }
-        return open(address, call, null, user);
+        return open(address, call, callUs, null, user);
     }
 
-    /** Makes one call on a connection of its own; {@code parts} takes the answer's body as it comes. */
-    Line open(InetSocketAddress address, ByteBuffer[] call, Consumer<byte[]> parts, Line.User user) {
+    /** Makes one call of any length on a connection of its own; {@code parts} takes its body as it comes. */
+    Line stream(InetSocketAddress address, ByteBuffer call, Consumer<byte[]> parts, Line.User user) {
+        return open(address, call, 0, parts, user);
+    }
+
+    private Line open(InetSocketAddress address, ByteBuffer call, long callUs, Consumer<byte[]> parts,
+                      Line.User user) {
         counters.add("connections opened");
         Line line = new Line(turn, this, address);
-        line.open(openWithinUs, call, parts, user);
+        line.open(openWithinUs, call, callUs, parts, user);
         return line;
     }
 
@@ -76,6 +81,6 @@
     }
 
     void gone(Line line) {
-        idle.remove(line.address(), line);
+        idle.remove(line);
     }
 }
--- a/src/main/java/gatelock/wire/Orders.java
+++ b/src/main/java/gatelock/wire/Orders.java
@@ -30,13 +30,16 @@
         this.open = open;
     }
 
-    /** Names who carries them out, before the first one is given; without a desk, votes go nowhere. */
-    public void bind(Gate gate, RouteOut routeOut, RelayBack relayBack, Book book, Desk desk,
-                     Discovery discovery) {
+    /** Names who carries them out, before the first one is given. */
+    public void bind(Gate gate, RouteOut routeOut, RelayBack relayBack, Book book) {
         this.gate = gate;
         this.routeOut = routeOut;
         this.relayBack = relayBack;
         this.book = book;
+    }
+
+    /** Names the platform; without one, votes and wishes for the list go nowhere. */
+    public void bind(Desk desk, Discovery discovery) {
         this.desk = desk;
         this.discovery = discovery;
     }
@@ -94,7 +97,9 @@
 
     @Override
     public void followList() {
-        turn.soon(discovery::follow);
+        if (discovery != null) {
+            turn.soon(discovery::follow);
+        }
     }
 
     @Override
--- a/src/main/java/gatelock/wire/SendOff.java
+++ b/src/main/java/gatelock/wire/SendOff.java
@@ -4,8 +4,6 @@
 import gatelock.kept.UnitAnswer;
 import gatelock.relay.Ending;
 
-import org.xnio.XnioExecutor;
-
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -39,35 +37,38 @@
         private final OpenReq req;
         private final int number;
         private final long sentUs = turn.nowUs();
-        private XnioExecutor.Key limit;
         private Line line;
         private boolean ended;
 
         Try(OpenReq req) {
             this.req = req;
-            this.number = req.addTry(() -> giveUp(Ending.CANCELLED));
+            this.number = req.addTry(this::callOff);
         }
 
         private void begin(InetSocketAddress address, long timeoutUs) {
             long leftUs = req.endUs() - sentUs;
             long waitUs = timeoutUs > 0 ? Math.min(timeoutUs, leftUs) : leftUs;
-            limit = turn.in(waitUs, () -> giveUp(Ending.TIMED_OUT));
             byte[] varying = ("X-Expires-In-Ms: " + Math.max(1, waitUs / 1000) + "\r\n\r\n")
                 .getBytes(StandardCharsets.ISO_8859_1);
             // One buffer, so that an ordinary req leaves in one write.
             ByteBuffer call = ByteBuffer.allocate(req.head().length + varying.length + req.body().length);
             call.put(req.head()).put(varying).put(req.body()).flip();
-            line = lines.call(address, new ByteBuffer[] {call}, this);
+            line = lines.call(address, call, waitUs, this);
         }
 
         /** Closes the connection: that is how a unit learns that nobody waits any more. */
-        private void giveUp(Ending ending) {
-            if (!ended && line != null) {
+        private void callOff() {
+            if (!ended) {
                 line.drop();
-                end(ending, null);
+                end(Ending.CANCELLED, null);
             }
         }
 
+        @Override
+        public void late() {
+            end(Ending.TIMED_OUT, null);
+        }
+
         @Override
         public void answered(UnitAnswer answer) {
             boolean never = (answer.status() == 503 || answer.status() == 504)
@@ -81,13 +82,7 @@
         }
 
         private void end(Ending ending, UnitAnswer answer) {
-            if (ended) {
-                return;
-            }
             ended = true;
-            if (limit != null) {
-                limit.remove();
-            }
             book.ended(req, number, ending, turn.nowUs() - sentUs, answer);
         }
     }
--- a/src/main/java/gatelock/wire/TakeIn.java
+++ b/src/main/java/gatelock/wire/TakeIn.java
@@ -34,7 +34,6 @@
 
 /** First stage: a client's req is read whole and checked for its form; the fields that matter are taken out. */
 public final class TakeIn implements HttpHandler {
-    private static final int MOST_BODY = 64 * 1024;
     private static final int FIRST_CHUNKS = 1024;
     private static final HttpString TRACE = new HttpString("X-Trace-Id");
     private static final HttpString CUSTOMER = new HttpString("X-Customer");
@@ -100,7 +99,7 @@
             try {
                 int n = channel.read(bytes);
                 for (; n > 0; n = channel.read(bytes)) {
-                    if (bytes.position() > MOST_BODY) {
+                    if (bytes.position() > AnswerReader.MOST_BODY) {
                         channel.suspendReads();
                         refuse(exchange, 413);
                         return;
@@ -138,12 +137,12 @@
         if (!get && length < 0 && !headers.contains(Headers.TRANSFER_ENCODING)) {
             return 411;
         }
-        if (length > MOST_BODY) {
+        if (length > AnswerReader.MOST_BODY) {
             return 413;
         }
         String id = headers.getFirst(TRACE);
         boolean keyed = repeat != Route.Repeat.DEDUPED || headers.contains(ONCE);
-        return id == null || id.isEmpty() || !keyed || admit.isOpen(id) ? 400 : 0;
+        return id == null || id.isEmpty() || !keyed ? 400 : 0;
     }
 
     /** Answers what was never taken. */
@@ -160,12 +159,12 @@
     }
 
     private void take(HttpServerExchange exchange, int route, byte[] body) {
-        if (admit.isOpen(exchange.getRequestHeaders().getFirst(TRACE))) {
+        HeaderMap headers = exchange.getRequestHeaders();
+        String id = headers.getFirst(TRACE);
+        if (admit.isOpen(id)) {
             refuse(exchange, 400);
             return;
         }
-        HeaderMap headers = exchange.getRequestHeaders();
-        String id = headers.getFirst(TRACE);
         long leftUs = number(headers.getFirst(EXPIRES), -1) * 1000;
         long endUs = turn.nowUs() + (leftUs > 0 ? leftUs : names.deadlinesUs.get(route));
         Integer tenant = names.tenants.get(headers.getFirst(CUSTOMER));
