Spoilt answers are failed tries, SIGHUP moves discovery and desk, a rehearsal ends whole

Ruled out: copies behind an answer (the connection was already ended for them).

Lines at fault: Rehearsal.end (swapped the handler while calls were out), AnswerReader.headersEnd (first of two lengths wins, close-delimited bodies whole at any end, 1xx and 3 GB without limit), Line.finish (connection kept before the JSON on it was read), Discovery.entries (addresses changed before the list was known to be good), Desk.Stream (went on after noise), and SIGHUP's default. Now: the rehearsal waits for all it asked (12,000 reqs or 4 s) and what is read of it later is closed; an answer's form is checked in AnswerReader alone; User.answered says whether it read; lists and news are checked whole in Json; units that left are forgotten with their idle connections; a connection rests 2 ms between calls.

--- a/src/main/java/gatelock/boot/Chain.java
+++ b/src/main/java/gatelock/boot/Chain.java
@@ -32,6 +32,8 @@
     private final Turn turn;
     private final Configuration told;
     private final Counters counters;
+    private Desk desk;
+    private Discovery discovery;
 
     Chain(Configuration told, Turn turn, Counters counters, Front front) {
         this.told = told;
@@ -39,7 +41,7 @@
         this.counters = counters;
         open = new OpenReqs(counters);
         // An idle connection is closed well before the unit would, so that no req crosses its end.
-        units = new Lines(turn, counters, told.openWithinUs(), told.idleUs() * 3 / 4, told.sockets() / 8);
+        units = new Lines(turn, counters, told.openWithinUs(), told.idleUs() * 3 / 4, 2_000, told.sockets() / 8);
         RelayBack relayBack = new RelayBack(turn, open, counters);
         Book book = new Book(turn, open, counters, relayBack);
         RouteOut routeOut = new RouteOut(addresses, new SendOff(turn, units, book));
@@ -53,9 +55,9 @@
 
     /** Begins from what the configuration holds, and follows discovery and the desk from there. */
     void start() throws IOException {
-        Lines platform = new Lines(turn, counters, 1_000_000, 4_000_000, 8);
-        Desk desk = new Desk(turn, counters, platform, told.desk(), told.charter().rollout().voteWaitUs());
-        Discovery discovery = new Discovery(turn, counters, platform, told.discovery(), addresses, units,
+        Lines platform = new Lines(turn, counters, 1_000_000, 4_000_000, 0, 8);
+        desk = new Desk(turn, counters, platform, told.desk(), told.charter().rollout().voteWaitUs());
+        discovery = new Discovery(turn, counters, platform, told.discovery(), addresses, units,
             told.plain("zones"), told.plain("flavors"), told.charter().mustAskForList(),
             new SplittableRandom(told.charter().seed() + 1));
         orders.bind(desk, discovery);
@@ -63,4 +65,10 @@
         discovery.start(gate, told.known());
         desk.start(gate, told.news());
     }
+
+    /** Follows discovery and the desk at other addresses from now on. */
+    void move(Configuration to) {
+        discovery.move(to.discovery());
+        desk.move(to.desk());
+    }
 }
--- a/src/main/java/gatelock/boot/Configuration.java
+++ b/src/main/java/gatelock/boot/Configuration.java
@@ -1,6 +1,5 @@
 package gatelock.boot;
 
-import gatelock.bench.MalformedLine;
 import gatelock.bench.Terms;
 import gatelock.relay.Charter;
 import gatelock.wire.Json;
@@ -20,28 +19,45 @@
                      int sockets, Json known, Json news, Charter charter, long openWithinUs, long idleUs,
                      List<Long> deadlinesUs, Map<String, String> settings) {
 
-    /** Reads it whole; whatever is missing or odd is told in one message. */
+    /** Reads it whole; whatever is missing or odd is told in one line. */
     static Configuration read(Path file) throws IOException {
+        try {
+            return readAll(file);
+        } catch (IOException | RuntimeException e) {
+            String why = String.valueOf(e.getMessage()).lines().findFirst().orElse("");
+            throw new IOException("configuration " + file + ": " + why, e);
+        }
+    }
+
+    /** This one with the addresses of another, the only things that change while a relay runs. */
+    Configuration movedTo(Configuration to) {
+        return new Configuration(name, listen, to.discovery, to.desk, sockets, known, news, charter, openWithinUs,
+            idleUs, deadlinesUs, settings);
+    }
+
+    /** Whether another one says the same but for addresses, what is listed and told, and the seed. */
+    boolean sameTerms(Configuration other) {
+        return name.equals(other.name) && listen.equals(other.listen) && sockets == other.sockets
+            && settings.equals(other.settings);
+    }
+
+    private static Configuration readAll(Path file) throws IOException {
         Json all = Json.read(Files.readAllBytes(file));
         Json deployer = all.object("deployer");
         Map<String, String> settings = new HashMap<>();
         flatten("", all.object("settings").fields(), settings);
-        try {
-            Charter charter = Terms.read(seed(all.text("seed")), settings);
-            if (charter.routes().isEmpty()) {
-                throw new IOException("expected routes in the settings");
-            }
-            List<Long> deadlinesUs = new ArrayList<>();
-            for (int i = 0; i < charter.routes().size(); i++) {
-                deadlinesUs.add(Terms.us(settings, "lanes." + i + ".deadlineNs"));
-            }
-            return new Configuration(all.text("name"), all.address("listen"), all.address("discovery"),
-                deployer.address("address"), (int) all.object("limits").whole("sockets"), all.object("known"),
-                deployer.object("news"), charter, Terms.us(settings, "limits.dialTimeoutNs"),
-                Terms.us(settings, "limits.connIdleNs"), deadlinesUs, settings);
-        } catch (MalformedLine e) {
-            throw new IOException(e.getMessage(), e);
+        Charter charter = Terms.read(seed(all.text("seed")), settings);
+        if (charter.routes().isEmpty()) {
+            throw new IOException("expected routes in the settings");
+        }
+        List<Long> deadlinesUs = new ArrayList<>();
+        for (int i = 0; i < charter.routes().size(); i++) {
+            deadlinesUs.add(Terms.us(settings, "lanes." + i + ".deadlineNs"));
         }
+        return new Configuration(all.text("name"), all.address("listen"), all.address("discovery"),
+            deployer.address("address"), all.object("limits").count("sockets"), all.object("known"),
+            deployer.object("news"), charter, Terms.us(settings, "limits.dialTimeoutNs"),
+            Terms.us(settings, "limits.connIdleNs"), deadlinesUs, settings);
     }
 
     /** The names under a list of objects, by place. */
--- a/src/main/java/gatelock/boot/Main.java
+++ b/src/main/java/gatelock/boot/Main.java
@@ -33,20 +33,20 @@
         }
     }
 
-    private static void serve(boolean cold) throws IOException {
+    private static void serve(boolean cold) {
         String file = System.getenv("PROXY_CONFIG");
         if (file == null) {
             give("PROXY_CONFIG names no configuration");
             return;
         }
-        Configuration configuration;
+        // Until there is something to read anew for, a SIGHUP does nothing.
+        Hangup.means(() -> { });
+        Path path = Path.of(file);
         try {
-            configuration = Configuration.read(Path.of(file));
-        } catch (IOException | RuntimeException e) {
-            give("configuration " + file + ": " + e.getMessage().lines().findFirst().orElse(""));
-            return;
+            Service.start(path, Configuration.read(path), cold);
+        } catch (IOException e) {
+            give(e.getMessage());
         }
-        Service.start(configuration, cold);
     }
 
     private static void give(String why) {
--- a/src/main/java/gatelock/boot/Rehearsal.java
+++ b/src/main/java/gatelock/boot/Rehearsal.java
@@ -10,13 +10,17 @@
 import gatelock.wire.Lines;
 import gatelock.wire.Turn;
 
+import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 
+import org.xnio.IoUtils;
+
 import java.lang.System.Logger.Level;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 
 /**
  * Before a relay says that it is ready it serves itself for a while: a chain of its own, with decisions that
@@ -25,8 +29,9 @@
  */
 final class Rehearsal {
     private static final System.Logger LOG = System.getLogger("gatelock.boot");
-    private static final long LONGEST_US = 12_000_000;
-    private static final int REQS = 40_000;
+    private static final long LONGEST_US = 4_000_000;
+    private static final long ONE_US = 500_000;
+    private static final int REQS = 12_000;
     private static final int AT_ONCE = 24;
     private static final int UNITS = 20;
     private static final byte[] ANSWER = new byte[200];
@@ -34,21 +39,23 @@
     private final Configuration told;
     private final Turn turn;
     private final Front front;
-    private final Runnable then;
+    private final Consumer<Rehearsal> then;
     private final Counters counters = new Counters();
     private final Chain chain;
     private final Lines clients;
+    private final String mark;
     private int asked;
     private int running;
     private boolean over;
 
-    Rehearsal(Configuration told, Turn turn, Front front, Runnable then) {
+    Rehearsal(Configuration told, Turn turn, Front front, Consumer<Rehearsal> then) {
         this.told = told;
         this.turn = turn;
         this.front = front;
         this.then = then;
         this.chain = new Chain(told, turn, counters, front);
-        this.clients = new Lines(turn, new Counters(), 1_000_000, 1_000_000, AT_ONCE);
+        this.clients = new Lines(turn, new Counters(), 1_000_000, 1_000_000, 0, AT_ONCE);
+        this.mark = "rehearsal-" + Long.toHexString(told.charter().seed()) + "-";
     }
 
     void begin() {
@@ -65,7 +72,22 @@
             running++;
             ask();
         }
-        turn.in(LONGEST_US, this::end);
+        turn.in(LONGEST_US, () -> over = true);
+    }
+
+    /**
+     * Who takes reqs in once the rehearsal has ended. Guards against a try of the rehearsal that is read only
+     * then, and that no unit may see; harms nobody, as its ids are this start's own.
+     */
+    HttpHandler before(HttpHandler real) {
+        return exchange -> {
+            String id = exchange.getRequestHeaders().getFirst("X-Trace-Id");
+            if (id != null && id.startsWith(mark)) {
+                IoUtils.safeClose(exchange.getConnection());
+            } else {
+                real.handleRequest(exchange);
+            }
+        };
     }
 
     /** The same req comes twice: first from a client, then as to a unit, while the first is still open. */
@@ -93,32 +115,36 @@
         boolean get = routes.get(route).repeat() == Route.Repeat.RETRIABLE;
         String name = told.settings().get("lanes." + route + ".name");
         String body = get ? "" : "0".repeat(200);
-        String text = (get ? "GET /" : "POST /") + name + " HTTP/1.1\r\nHost: rehearsal\r\nX-Trace-Id: rehearsal-" + n
-            + "\r\nX-Customer: none\r\nCookie: k=" + Integer.toHexString(n % 1000) + "\r\nX-Expires-In-Ms: 2000\r\n"
+        String text = (get ? "GET /" : "POST /") + name + " HTTP/1.1\r\nHost: rehearsal\r\nX-Trace-Id: " + mark + n
+            + "\r\nX-Customer: none\r\nCookie: k=" + Integer.toHexString(n % 1000) + "\r\nX-Expires-In-Ms: 500\r\n"
             + "X-Size-Hint: 2000\r\n" + (get ? "" : "Idempotency-Key: " + n + "\r\nContent-Length: 200\r\n") + "\r\n"
             + body;
-        clients.call(told.listen(), StandardCharsets.US_ASCII.encode(text), 0,
+        clients.call(told.listen(), StandardCharsets.US_ASCII.encode(text), ONE_US,
             new Line.User() {
                 @Override
-                public void answered(UnitAnswer answer) {
+                public boolean answered(UnitAnswer answer) {
                     turn.soon(Rehearsal.this::ask);
+                    return true;
                 }
 
                 @Override
                 public void broken(boolean written) {
                     turn.in(1_000, Rehearsal.this::ask);
                 }
+
+                @Override
+                public void late() {
+                    ask();
+                }
             });
     }
 
+    /** All that was asked has ended. */
     private void end() {
-        if (!over) {
-            over = true;
-            LOG.log(Level.INFO, "rehearsed " + asked + " reqs: " + counters);
-            chain.orders.stop();
-            clients.stop();
-            chain.units.stop();
-            then.run();
-        }
+        LOG.log(Level.INFO, "rehearsed " + asked + " reqs: " + counters);
+        chain.orders.stop();
+        clients.stop();
+        chain.units.stop();
+        then.accept(this);
     }
 }
--- a/src/main/java/gatelock/boot/Service.java
+++ b/src/main/java/gatelock/boot/Service.java
@@ -4,6 +4,8 @@
 import gatelock.wire.Front;
 import gatelock.wire.Turn;
 
+import io.undertow.server.HttpHandler;
+
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
@@ -11,7 +13,9 @@
 
 import java.io.IOException;
 import java.lang.System.Logger.Level;
+import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
+import java.util.function.UnaryOperator;
 
 /** One running relay: puts the parts together on one I/O thread, starts them, and takes leave on SIGTERM. */
 final class Service {
@@ -20,24 +24,27 @@
     private static final long COUNTERS_EVERY_US = 60_000_000;
     private static final long STACK_BYTES = 256 * 1024;
 
-    private final Configuration told;
+    private final Path file;
     private final boolean cold;
     private final Turn turn;
     private final Counters counters = new Counters();
+    private Configuration told;
     private Front front;
+    private Chain chain;
 
-    private Service(Configuration told, boolean cold, Turn turn) {
+    private Service(Path file, Configuration told, boolean cold, Turn turn) {
+        this.file = file;
         this.told = told;
         this.cold = cold;
         this.turn = turn;
     }
 
     /** @param cold whether it serves at once, without a rehearsal */
-    static void start(Configuration told, boolean cold) throws IOException {
+    static void start(Path file, Configuration told, boolean cold) throws IOException {
         XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1)
             .set(Options.WORKER_TASK_CORE_THREADS, 1).set(Options.WORKER_TASK_MAX_THREADS, 1)
             .set(Options.STACK_SIZE, STACK_BYTES).set(Options.WORKER_NAME, "gatelock").getMap());
-        Service service = new Service(told, cold, new Turn(worker.getIoThread()));
+        Service service = new Service(file, told, cold, new Turn(worker.getIoThread()));
         CountDownLatch left = new CountDownLatch(1);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             service.turn.soon(() -> service.front.leave(STILL_COMING_US, left::countDown));
@@ -49,6 +56,26 @@
             LOG.log(Level.INFO, "ends: " + service.counters);
         }, "leave"));
         service.turn.soon(service::run);
+        // A file is read on the worker's one task thread: one after the other, and never in the way of reqs.
+        Hangup.means(() -> worker.execute(service::readAnew));
+    }
+
+    private void readAnew() {
+        try {
+            Configuration now = Configuration.read(file);
+            turn.soon(() -> move(now));
+        } catch (IOException e) {
+            LOG.log(Level.WARNING, "SIGHUP, what was in force stays: " + e.getMessage());
+        }
+    }
+
+    private void move(Configuration now) {
+        LOG.log(Level.INFO, "SIGHUP, discovery at " + now.discovery() + ", release desk at " + now.desk()
+            + (told.sameTerms(now) ? "" : "; name, listen, limits and settings stay until a restart"));
+        told = told.movedTo(now);
+        if (chain != null) {
+            chain.move(told);
+        }
     }
 
     private void run() {
@@ -56,20 +83,20 @@
             front = new Front(turn, counters, told.sockets() * 3 / 4);
             front.listen(told.listen());
             if (cold) {
-                serve();
+                serve(real -> real);
             } else {
-                new Rehearsal(told, turn, front, this::serve).begin();
+                new Rehearsal(told, turn, front, rehearsal -> serve(rehearsal::before)).begin();
             }
         } catch (IOException e) {
             give(e);
         }
     }
 
-    private void serve() {
+    private void serve(UnaryOperator<HttpHandler> before) {
         try {
-            Chain chain = new Chain(told, turn, counters, front);
+            chain = new Chain(told, turn, counters, front);
             chain.start();
-            front.admit(chain.takeIn, true);
+            front.admit(before.apply(chain.takeIn), true);
             LOG.log(Level.INFO, told.name() + " serves on " + told.listen());
             turn.in(COUNTERS_EVERY_US, this::tellCounters);
         } catch (IOException e) {
--- a/src/main/java/gatelock/kept/Addresses.java
+++ b/src/main/java/gatelock/kept/Addresses.java
@@ -4,7 +4,9 @@
 
 import java.net.InetSocketAddress;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** Where each unit is to be reached, as discovery last told. */
 public final class Addresses {
@@ -19,12 +21,25 @@
         return places.get(unit);
     }
 
-    /** Notes an entry; returns the place that stood before if connections to it serve no more, else null. */
-    public Place put(InetSocketAddress address, Listed listed) {
+    /** Notes an entry; returns the addresses to which standing connections serve no more. */
+    public List<InetSocketAddress> put(InetSocketAddress address, Listed listed) {
         Place place = new Place(address, listed);
-        Place before = places.put(listed.unit(), place);
-        return before == null || listed.health() == Listed.Health.READY && before.address.equals(address)
-            && before.listed.startUs() == listed.startUs() && before.listed.build() == listed.build()
-            ? null : before;
+        Place before = listed.health() == Listed.Health.GONE ? places.remove(listed.unit())
+            : places.put(listed.unit(), place);
+        if (before == null) {
+            // An address may come back under another name: whoever stood there before is another process.
+            return List.of(address);
+        }
+        boolean same = listed.health() == Listed.Health.READY && before.address.equals(address)
+            && before.listed.startUs() == listed.startUs() && before.listed.build() == listed.build();
+        return same ? List.of() : List.of(before.address, address);
+    }
+
+    /** Forgets all units but these; returns where those stood. */
+    public List<InetSocketAddress> keepOnly(Set<String> units) {
+        List<InetSocketAddress> left = places.entrySet().stream().filter(e -> !units.contains(e.getKey()))
+            .map(e -> e.getValue().address).toList();
+        places.keySet().retainAll(units);
+        return left;
     }
 }
--- a/src/main/java/gatelock/kept/Idle.java
+++ b/src/main/java/gatelock/kept/Idle.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.function.Consumer;
@@ -26,11 +27,19 @@
         this.close = close;
     }
 
-    public C take(InetSocketAddress address) {
+    /** The one last used of those that stood idle by that time, or null. */
+    public C take(InetSocketAddress address, long byUs) {
         ArrayDeque<C> there = byAddress.get(address);
-        C found = there == null ? null : there.pollLast();
-        since.remove(found);
-        return found;
+        if (there != null) {
+            for (Iterator<C> latest = there.descendingIterator(); latest.hasNext(); ) {
+                C found = latest.next();
+                if (since.get(found).us <= byUs) {
+                    remove(found);
+                    return found;
+                }
+            }
+        }
+        return null;
     }
 
     public void put(long nowUs, InetSocketAddress address, C connection) {
@@ -44,16 +53,19 @@
     public void remove(C connection) {
         Since was = since.remove(connection);
         if (was != null) {
-            byAddress.get(was.address).remove(connection);
+            ArrayDeque<C> there = byAddress.get(was.address);
+            there.removeLastOccurrence(connection);
+            if (there.isEmpty()) {
+                byAddress.remove(was.address);
+            }
         }
     }
 
     /** Closes all to one address. */
     public void closeAll(InetSocketAddress address) {
-        for (C next = take(address); next != null; next = take(address)) {
+        for (C next = take(address, Long.MAX_VALUE); next != null; next = take(address, Long.MAX_VALUE)) {
             close.accept(next);
         }
-        byAddress.remove(address);
     }
 
     /** Closes what stood idle since before that time. */
--- a/src/main/java/gatelock/wire/AnswerReader.java
+++ b/src/main/java/gatelock/wire/AnswerReader.java
@@ -9,14 +9,24 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.function.Consumer;
-
-/** Reads one HTTP/1.1 answer from the pieces in which it comes. */
+import java.util.regex.Pattern;
+
+/**
+ * Reads one HTTP/1.1 answer from the pieces in which it comes; the one place where an answer's form is checked.
+ *
+ * <p>Guards against answers that are noise, cut, without end or of two lengths, and should hold against any that
+ * leave open where they end: what can't be proven whole is unreadable. Could harm where a unit ends its answers
+ * with their connection, or has heads beyond {@link #MOST_HEAD}.
+ */
 final class AnswerReader {
-    private static final int MOST_LINE = 16 * 1024;
+    /** All that may stand before a body, 1xx answers included; and any line later on. */
+    private static final int MOST_HEAD = 16 * 1024;
     /** The most that any body may hold, in the protocol. */
     static final int MOST_BODY = 64 * 1024;
 
-    private enum Part { STATUS, HEADERS, BODY, TO_THE_END, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILERS, WHOLE }
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-5][0-9][0-9]( .*)?", Pattern.DOTALL);
+
+    private enum Part { STATUS, HEADERS, BODY, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILERS, WHOLE }
 
     private final Consumer<byte[]> parts;
     private final ByteArrayOutputStream line = new ByteArrayOutputStream(128);
@@ -25,6 +35,7 @@
     private Part part = Part.STATUS;
     private int status;
     private boolean lasting;
+    private int headBytes;
     private long left;
 
     /** @param parts takes the body piece by piece as it comes; null: the body is held whole */
@@ -49,15 +60,15 @@
     void read(ByteBuffer in) throws UnreadableAnswer {
         while (in.hasRemaining() && part != Part.WHOLE) {
             switch (part) {
-                case BODY, TO_THE_END, CHUNK -> bytes(in);
+                case BODY, CHUNK -> bytes(in);
                 default -> {
                     byte b = in.get();
                     if (b == '\n') {
                         String text = line.toString(StandardCharsets.ISO_8859_1);
                         line.reset();
                         line(text.endsWith("\r") ? text.substring(0, text.length() - 1) : text);
-                    } else if (line.size() >= MOST_LINE) {
-                        throw new UnreadableAnswer("line too long");
+                    } else if (headBytes++ >= MOST_HEAD) {
+                        throw new UnreadableAnswer("head or line too long");
                     } else {
                         line.write(b);
                     }
@@ -66,13 +77,6 @@
         }
     }
 
-    /** The connection ended: that ends an answer which states no length. */
-    void end() {
-        if (part == Part.TO_THE_END) {
-            part = Part.WHOLE;
-        }
-    }
-
     private void bytes(ByteBuffer in) throws UnreadableAnswer {
         byte[] some = new byte[(int) Math.min(left, in.remaining())];
         in.get(some);
@@ -102,7 +106,8 @@
             }
             case CHUNK_SIZE -> {
                 int end = text.indexOf(';');
-                left = number(end < 0 ? text : text.substring(0, end), 16);
+                left = number(end < 0 ? text : text.substring(0, end).trim(), 16);
+                headBytes = 0;
                 part = left == 0 ? Part.TRAILERS : Part.CHUNK;
             }
             case CHUNK_END -> {
@@ -116,63 +121,81 @@
     }
 
     private void statusLine(String text) throws UnreadableAnswer {
-        if (!text.startsWith("HTTP/1.") || text.length() < 12) {
-            throw new UnreadableAnswer("no status line");
+        boolean form = STATUS_LINE.matcher(text).matches();
+        status = form ? Integer.parseInt(text.substring(9, 12)) : 0;
+        if (status < 100 || status == 101) {
+            throw new UnreadableAnswer("no status line, or another protocol");
         }
-        lasting = text.charAt(7) != '0';
-        status = (int) number(text.substring(9, 12), 10);
+        lasting = text.charAt(7) == '1';
         part = Part.HEADERS;
     }
 
+    /** Keeps a header; one that could mean something else to the next reader is left out. */
     private void header(String text) throws UnreadableAnswer {
         int colon = text.indexOf(':');
-        if (colon <= 0 || headers.size() > 200) {
-            throw new UnreadableAnswer("no header, or too many");
+        if (colon <= 0) {
+            throw new UnreadableAnswer("no header");
+        }
+        String name = text.substring(0, colon);
+        String value = text.substring(colon + 1).trim();
+        if (name.chars().allMatch(c -> c > ' ' && c < 127) && value.chars().allMatch(c -> c >= ' ' && c != 127)) {
+            headers.add(name);
+            headers.add(value);
         }
-        headers.add(text.substring(0, colon));
-        headers.add(text.substring(colon + 1).trim());
     }
 
     private void headersEnd() throws UnreadableAnswer {
-        UnitAnswer so = new UnitAnswer(status, headers, null);
-        if (status >= 100 && status < 200) {
+        if (status < 200) {
             headers.clear();
             part = Part.STATUS;
             return;
         }
-        String connection = so.header("Connection");
+        headBytes = 0;
+        String connection = only("Connection");
         if (connection != null) {
             String said = connection.toLowerCase(Locale.ROOT);
-            lasting = said.contains("close") ? false : lasting || said.contains("keep-alive");
+            lasting = !said.contains("close") && (lasting || said.contains("keep-alive"));
+        }
+        String coding = only("Transfer-Encoding");
+        String length = only("Content-Length");
+        if (coding == null == (length == null) && status != 204 && status != 304) {
+            throw new UnreadableAnswer("no length, or two");
         }
-        String coding = so.header("Transfer-Encoding");
-        String length = so.header("Content-Length");
         if (status == 204 || status == 304) {
             part = Part.WHOLE;
         } else if (coding != null) {
-            if (!coding.trim().equalsIgnoreCase("chunked")) {
+            if (!coding.equalsIgnoreCase("chunked")) {
                 throw new UnreadableAnswer("unknown coding");
             }
             part = Part.CHUNK_SIZE;
-        } else if (length != null) {
+        } else {
             left = number(length, 10);
             part = left == 0 ? Part.WHOLE : Part.BODY;
-        } else {
-            lasting = false;
-            left = Long.MAX_VALUE;
-            part = Part.TO_THE_END;
         }
     }
 
-    private static long number(String text, int radix) throws UnreadableAnswer {
-        try {
-            long found = Long.parseLong(text.trim(), radix);
-            if (found >= 0) {
-                return found;
+    /** The value of a header that may stand once only, or again with the same value; null where it is absent. */
+    private String only(String name) throws UnreadableAnswer {
+        String found = null;
+        for (int i = 0; i < headers.size(); i += 2) {
+            if (headers.get(i).equalsIgnoreCase(name)) {
+                if (found != null && !found.equals(headers.get(i + 1))) {
+                    throw new UnreadableAnswer("two values of " + name);
+                }
+                found = headers.get(i + 1);
             }
-        } catch (NumberFormatException e) {
-            // falls through to the one message
         }
-        throw new UnreadableAnswer("expected a number, found " + text);
+        return found;
+    }
+
+    /** A length: digits only, and of a body held whole no more than it may have. */
+    private long number(String text, int radix) throws UnreadableAnswer {
+        boolean form = text.length() <= 12 && !text.isEmpty()
+            && text.chars().allMatch(c -> c < 128 && Character.digit(c, radix) >= 0);
+        long found = form ? Long.parseLong(text, radix) : -1;
+        if (found < 0 || parts == null && found > MOST_BODY) {
+            throw new UnreadableAnswer("expected a length, found " + text);
+        }
+        return found;
     }
 }
--- a/src/main/java/gatelock/wire/Desk.java
+++ b/src/main/java/gatelock/wire/Desk.java
@@ -29,8 +29,8 @@
     private final Turn turn;
     private final Counters counters;
     private final Lines lines;
-    private final InetSocketAddress address;
     private final long voteWaitUs;
+    private InetSocketAddress address;
     private Gate gate;
     private Stream standing;
     private Stream second;
@@ -47,8 +47,23 @@
     public void start(Gate gate, Json news) throws IOException {
         this.gate = gate;
         told(news, Gate.VoteAnswer.NOT_ASKED);
-        standing = new Stream();
-        standing.begin();
+        standing = new Stream().begin();
+    }
+
+    /**
+     * Speaks with a desk at another address from now on. The news from there stand before the old ones go, and
+     * votes under way get their ending.
+     */
+    public void move(InetSocketAddress to) {
+        if (!to.equals(address)) {
+            lines.close(address);
+            address = to;
+            if (second != null) {
+                second.drop();
+                second = null;
+            }
+            standing.replace();
+        }
     }
 
     void vote(int build, int stage, Verdict verdict) {
@@ -65,10 +80,11 @@
         if (phase == null) {
             throw new IOException("expected a known mode, found " + news.text("mode"));
         }
-        int build = (int) news.whole("release");
-        int stage = (int) news.whole("tranche");
+        int build = news.count("release");
+        int stage = news.count("tranche");
         double cap = news.number("exposure");
-        gate.news(turn.nowUs(), build, stage, phase, cap, news.wholeOr("old_ms", 0) * 1000, answer);
+        long agoUs = news.wholeOr("old_ms", 0) * 1000;
+        gate.news(turn.nowUs(), build, stage, phase, cap, agoUs, answer);
     }
 
     /** Says that no news came with a vote's answer. */
@@ -80,20 +96,21 @@
     /** One vote; one whose answer can't be read may have counted. */
     private final class Vote implements Line.User {
         @Override
-        public void answered(UnitAnswer answer) {
-            switch (answer.status()) {
-                case 200 -> {
-                    try {
-                        told(Json.read(answer.body()), Gate.VoteAnswer.COUNTED);
-                    } catch (IOException e) {
-                        LOG.log(Level.WARNING, "release desk: " + e.getMessage());
-                        without(Gate.VoteAnswer.TIMED_OUT);
-                    }
+        public boolean answered(UnitAnswer answer) {
+            try {
+                Json said = Json.read(answer.body());
+                switch (answer.status()) {
+                    case 200 -> told(said, Gate.VoteAnswer.COUNTED);
+                    case 429 -> without(Gate.VoteAnswer.BUSY);
+                    case 409 -> without(Gate.VoteAnswer.MOOT);
+                    case 400, 500 -> without(Gate.VoteAnswer.ERROR);
+                    default -> throw new IOException("status " + answer.status());
                 }
-                case 429 -> without(Gate.VoteAnswer.BUSY);
-                case 409 -> without(Gate.VoteAnswer.MOOT);
-                case 400, 500 -> without(Gate.VoteAnswer.ERROR);
-                default -> without(Gate.VoteAnswer.TIMED_OUT);
+                return true;
+            } catch (IOException e) {
+                LOG.log(Level.WARNING, "release desk: " + e.getMessage());
+                without(Gate.VoteAnswer.TIMED_OUT);
+                return false;
             }
         }
 
@@ -111,18 +128,24 @@
     /** A connection on which news come unasked. Nothing more is ever written to it. */
     private final class Stream implements Line.User {
         private final ByteArrayOutputStream text = new ByteArrayOutputStream(256);
+        private final InetSocketAddress where = address;
         private Line line;
         private XnioExecutor.Key quiet;
+        private boolean over;
 
-        void begin() {
+        Stream begin() {
             counters.add("news connections");
             String call = "GET " + BASE + "changes HTTP/1.1\r\nHost: desk\r\n\r\n";
             quiet = turn.in(QUIET_US, this::quiet);
-            line = lines.stream(address, StandardCharsets.US_ASCII.encode(call), this::came, this);
+            line = lines.stream(where, StandardCharsets.US_ASCII.encode(call), this::came, this);
+            return this;
         }
 
         private void came(byte[] some) {
             for (byte b : some) {
+                if (over) {
+                    return;
+                }
                 if (b != '\n') {
                     text.write(b);
                 } else {
@@ -131,46 +154,78 @@
                 }
             }
             if (text.size() > MOST_LINE) {
-                text.reset();
+                spoilt("a line without end");
             }
         }
 
         private void line(byte[] line) {
+            try {
+                Json said = Json.read(line);
+                heard();
+                if ("news".equals(said.textOr("type", ""))) {
+                    told(said.object("object"), Gate.VoteAnswer.NOT_ASKED);
+                }
+            } catch (IOException e) {
+                spoilt(e.getMessage());
+            }
+        }
+
+        /** It speaks: of two connections, the one that does is kept, and the newer of two that do. */
+        private void heard() {
             quiet.remove();
             quiet = turn.in(QUIET_US, this::quiet);
             if (this == second) {
-                // The newer one speaks: the older one has served.
                 Stream old = standing;
                 standing = this;
                 second = null;
                 old.drop();
-            } else if (second != null) {
-                Stream newer = second;
+            } else if (second != null && where.equals(address)) {
+                second.drop();
                 second = null;
-                newer.drop();
             }
-            try {
-                Json said = Json.read(line);
-                if ("news".equals(said.textOr("type", ""))) {
-                    told(said.object("object"), Gate.VoteAnswer.NOT_ASKED);
+        }
+
+        /**
+         * Guards against a desk whose words can't be read: the connection is of no further use, and another
+         * takes its place. Should hold against anything but news; could harm where a desk says more than news.
+         */
+        private void spoilt(String why) {
+            counters.add("news unreadable");
+            LOG.log(Level.WARNING, "news: " + why);
+            over = true;
+            turn.soon(() -> {
+                if (this == second) {
+                    drop();
+                    lost();
+                } else {
+                    replace();
                 }
-            } catch (IOException e) {
-                counters.add("news unreadable");
-                LOG.log(Level.WARNING, "news: " + e.getMessage());
-            }
+            });
         }
 
         /** Guards against a connection that is silent without being closed: another is opened beside it. */
         private void quiet() {
             if (this == second) {
-                second = null;
                 drop();
-                return;
+                lost();
+            } else {
+                quiet = turn.in(QUIET_US, this::quiet);
+                replace();
             }
-            quiet = turn.in(QUIET_US, this::quiet);
-            if (second == null) {
-                second = new Stream();
-                second.begin();
+        }
+
+        /** Opens another beside it, unless one is on its way. */
+        private void replace() {
+            if (this == standing && second == null) {
+                second = new Stream().begin();
+            }
+        }
+
+        private void lost() {
+            over = true;
+            second = this == second ? null : second;
+            if (standing.over && second == null) {
+                turn.in(REOPEN_US, standing::replace);
             }
         }
 
@@ -180,24 +235,15 @@
         }
 
         @Override
-        public void answered(UnitAnswer answer) {
+        public boolean answered(UnitAnswer answer) {
             broken(true);
+            return false;
         }
 
         @Override
         public void broken(boolean written) {
             quiet.remove();
-            if (this == second) {
-                second = null;
-            } else if (second != null) {
-                standing = second;
-                second = null;
-            } else {
-                turn.in(REOPEN_US, () -> {
-                    standing = new Stream();
-                    standing.begin();
-                });
-            }
+            lost();
         }
     }
 }
--- a/src/main/java/gatelock/wire/Discovery.java
+++ b/src/main/java/gatelock/wire/Discovery.java
@@ -6,6 +6,8 @@
 import gatelock.relay.Gate;
 import gatelock.relay.Listed;
 
+import org.xnio.XnioExecutor;
+
 import java.io.IOException;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
@@ -14,6 +16,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 
 /** Speaks with discovery: the whole list, then a watch that is renewed as soon as it has answered. */
 public final class Discovery {
@@ -28,14 +31,16 @@
     private final Turn turn;
     private final Counters counters;
     private final Lines lines;
-    private final InetSocketAddress address;
     private final Addresses addresses;
     private final Lines units;
     private final List<String> zones;
     private final List<String> kinds;
     private final boolean onRequest;
     private final RandomGenerator chance;
+    private InetSocketAddress address;
     private Gate gate;
+    private Line line;
+    private XnioExecutor.Key again;
     private long index = -1;
     private boolean following;
 
@@ -61,7 +66,7 @@
     /** Begins from the list that this relay last held. */
     public void start(Gate gate, Json known) throws IOException {
         this.gate = gate;
-        gate.listed(turn.nowUs(), Gate.ListForm.CACHED, entries(known));
+        gate.listed(turn.nowUs(), Gate.ListForm.CACHED, noted(entries(known), false));
         if (!onRequest) {
             follow();
         }
@@ -74,32 +79,56 @@
         }
     }
 
+    /** Asks at another address from now on, for the whole list first; the old one is not heard any more. */
+    public void move(InetSocketAddress to) {
+        if (to.equals(address)) {
+            return;
+        }
+        lines.close(address);
+        address = to;
+        index = -1;
+        if (following) {
+            line.drop();
+            if (again != null) {
+                again.remove();
+            }
+            ask();
+        }
+    }
+
     private void ask() {
         boolean watch = index >= 0;
         String path = watch ? "/api/targets?from=" + index + "&hold_ms=" + HOLD_MS : "/api/targets";
         String call = "GET " + path + " HTTP/1.1\r\nHost: discovery\r\n\r\n";
-        lines.call(address, StandardCharsets.US_ASCII.encode(call), GRACE_US + (watch ? HOLD_MS * 1000 : 0),
+        line = lines.call(address, StandardCharsets.US_ASCII.encode(call), GRACE_US + (watch ? HOLD_MS * 1000 : 0),
             new Asked());
     }
 
-    private void told(UnitAnswer answer) {
+    /** Takes in an answer; one that is bad anywhere changes nothing. */
+    private boolean told(UnitAnswer answer) {
         try {
             if (answer.status() != 200) {
                 throw new IOException("status " + answer.status());
             }
             Json list = Json.read(answer.body());
-            List<Listed> entries = entries(list);
+            List<Entry> entries = entries(list);
             boolean whole = list.yes("snapshot");
-            boolean news = whole || !entries.isEmpty();
             index = list.whole("index");
-            // The next watch goes out first: changes in between count as told.
-            ask();
-            if (news) {
-                gate.listed(turn.nowUs(), whole ? Gate.ListForm.FULL : Gate.ListForm.DELTA, entries);
+            // The next watch goes out at once, on the same connection: changes in between count as told.
+            InetSocketAddress from = address;
+            turn.soon(() -> {
+                if (from.equals(address)) {
+                    ask();
+                }
+            });
+            if (whole || !entries.isEmpty()) {
+                gate.listed(turn.nowUs(), whole ? Gate.ListForm.FULL : Gate.ListForm.DELTA, noted(entries, whole));
             }
+            return true;
         } catch (IOException e) {
             LOG.log(Level.WARNING, "discovery: " + e.getMessage());
             failed();
+            return false;
         }
     }
 
@@ -109,30 +138,39 @@
             following = false;
             gate.listed(turn.nowUs(), Gate.ListForm.FAILED, List.of());
         } else {
-            turn.in(RETRY_US + chance.nextLong(RETRY_US), this::ask);
+            again = turn.in(RETRY_US + chance.nextLong(RETRY_US), this::ask);
         }
     }
 
-    private List<Listed> entries(Json list) throws IOException {
-        List<Listed> entries = new ArrayList<>();
+    private record Entry(InetSocketAddress where, Listed listed) {
+    }
+
+    private List<Entry> entries(Json list) throws IOException {
+        List<Entry> entries = new ArrayList<>();
         for (Json e : list.objects("endpoints")) {
             String unit = e.text("name");
             Listed.Health health = HEALTH.get(e.text("status"));
             if (health == null) {
                 throw new IOException("expected a known status for " + unit);
             }
-            InetSocketAddress where = e.address("address");
-            Listed listed = new Listed(unit, (int) e.whole("image_id"), number(zones, e, "zone"),
-                number(kinds, e, "type"), (int) e.wholeOr("group", 0), health, e.wholeOr("since_ms", 0) * 1000);
-            entries.add(listed);
-            Addresses.Place before = addresses.put(where, listed);
-            if (before != null) {
-                units.close(before.address());
-            }
+            entries.add(new Entry(e.address("address"), new Listed(unit, e.count("image_id"),
+                number(zones, e, "zone"), number(kinds, e, "type"), (int) e.wholeOr("group", 0), health,
+                e.wholeOr("since_ms", 0) * 1000)));
         }
         return entries;
     }
 
+    /** Notes where the units are, and closes the idle connections that serve no more. */
+    private List<Listed> noted(List<Entry> entries, boolean whole) {
+        List<Listed> listed = entries.stream().map(Entry::listed).toList();
+        entries.forEach(e -> addresses.put(e.where, e.listed).forEach(units::close));
+        if (whole) {
+            addresses.keepOnly(listed.stream().map(Listed::unit).collect(Collectors.toSet()))
+                .forEach(units::close);
+        }
+        return listed;
+    }
+
     private static int number(List<String> names, Json entry, String field) {
         return Math.max(0, names.indexOf(entry.textOr(field, "")));
     }
@@ -140,8 +178,8 @@
     /** One call for the list. */
     private final class Asked implements Line.User {
         @Override
-        public void answered(UnitAnswer answer) {
-            told(answer);
+        public boolean answered(UnitAnswer answer) {
+            return told(answer);
         }
 
         @Override
--- a/src/main/java/gatelock/wire/Json.java
+++ b/src/main/java/gatelock/wire/Json.java
@@ -1,5 +1,6 @@
 package gatelock.wire;
 
+import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.jr.ob.JSON;
 
 import java.io.IOException;
@@ -9,13 +10,24 @@
 import java.util.List;
 import java.util.Map;
 
-/** One JSON object as it came, with its fields read by name. */
+/**
+ * One JSON object as it came, with its fields read by name; the one place where their form is checked. Whatever
+ * is not of its kind or out of any sensible range is an {@link IOException}, so that a spoilt message is never
+ * half believed.
+ */
 public record Json(Map<String, Object> fields) {
+    /** No id, count or time goes beyond; times are still whole as microseconds. */
+    private static final double MOST_WHOLE = 1e15;
 
+    /** Reads one object and nothing behind it. */
     public static Json read(byte[] text) throws IOException {
-        try {
-            return new Json(JSON.std.mapFrom(new String(text, StandardCharsets.UTF_8)));
-        } catch (ClassCastException e) {
+        try (JsonParser parser = JSON.std.createParser(new String(text, StandardCharsets.UTF_8))) {
+            Map<String, Object> fields = JSON.std.mapFrom(parser);
+            if (fields == null || parser.nextToken() != null) {
+                throw new IOException("expected one JSON object");
+            }
+            return new Json(fields);
+        } catch (RuntimeException e) {
             throw new IOException("expected a JSON object", e);
         }
     }
@@ -61,22 +73,28 @@
     }
 
     public double number(String name) throws IOException {
-        return numeric(name).doubleValue();
+        return within(need(name), -MOST_WHOLE, MOST_WHOLE, name).doubleValue();
     }
 
+    /** A whole number from 0 on. */
     public long whole(String name) throws IOException {
-        return numeric(name).longValue();
+        return within(need(name), 0, MOST_WHOLE, name).longValue();
     }
 
-    private Number numeric(String name) throws IOException {
-        if (need(name) instanceof Number number) {
-            return number;
-        }
-        throw new IOException("expected a number under " + name);
+    /** A small whole number from 0 on, as ids of builds and stages are. */
+    public int count(String name) throws IOException {
+        return within(need(name), 0, Integer.MAX_VALUE, name).intValue();
     }
 
-    public long wholeOr(String name, long absent) {
-        return fields.get(name) instanceof Number number ? number.longValue() : absent;
+    public long wholeOr(String name, long absent) throws IOException {
+        return fields.get(name) == null ? absent : whole(name);
+    }
+
+    private static Number within(Object value, double least, double most, String name) throws IOException {
+        if (value instanceof Number number && number.doubleValue() >= least && number.doubleValue() <= most) {
+            return number;
+        }
+        throw new IOException("expected a number in its range under " + name);
     }
 
     public boolean yes(String name) {
--- a/src/main/java/gatelock/wire/Line.java
+++ b/src/main/java/gatelock/wire/Line.java
@@ -23,7 +23,8 @@
 
     /** Whoever made a call; hears once how it ended, never while the call is being made. */
     public interface User {
-        void answered(UnitAnswer answer);
+        /** Whether it reads as what was asked for; if not, the connection serves no more. */
+        boolean answered(UnitAnswer answer);
 
         /** No whole, readable answer came; {@code written}: the last byte of the call was written before. */
         void broken(boolean written);
@@ -133,14 +134,7 @@
                 }
                 if (n < 0 || user == null) {
                     // An end, or bytes that nobody asked for on an idle connection.
-                    if (user != null) {
-                        reader.end();
-                    }
-                    if (user != null && reader.whole()) {
-                        finish(false);
-                    } else {
-                        end();
-                    }
+                    end();
                     return;
                 }
                 in.flip();
@@ -150,7 +144,13 @@
                     return;
                 }
             }
-        } catch (IOException | UnreadableAnswer e) {
+        } catch (UnreadableAnswer e) {
+            home.unreadable(address, e);
+            end();
+        } catch (IOException e) {
+            end();
+        } catch (RuntimeException | AssertionError e) {
+            turn.unexpected(e);
             end();
         }
     }
@@ -166,12 +166,11 @@
 
     private void finish(boolean keep) {
         User caller = callOver();
-        if (keep) {
+        if (caller.answered(reader.answer()) && keep) {
             home.idle(this);
         } else {
             end();
         }
-        caller.answered(reader.answer());
     }
 
     /** Gives the call up, or the idle connection; whoever made the call hears nothing more of it. */
--- a/src/main/java/gatelock/wire/Lines.java
+++ b/src/main/java/gatelock/wire/Lines.java
@@ -3,29 +3,36 @@
 import gatelock.kept.Counters;
 import gatelock.kept.Idle;
 
+import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.function.Consumer;
 
 /** The connections that this relay opens to one kind of party, kept between calls. */
 public final class Lines {
+    private static final System.Logger LOG = System.getLogger("gatelock.wire");
     private final Turn turn;
     private final Counters counters;
     private final Idle<Line> idle;
     private final long openWithinUs;
     private final long idleUs;
+    private final long restUs;
     private boolean stopped;
 
     /**
      * @param openWithinUs a connection that is not up by then has failed
      * @param idleUs how long a connection is kept without a call
+     * @param restUs how long a connection is without a call before the next. Guards against bytes behind an answer
+     *     that would be read as the next call's: what comes meanwhile ends the connection. Should hold against any
+     *     late copy or noise; costs some connections more under load
      * @param most how many are kept without a call
      */
-    public Lines(Turn turn, Counters counters, long openWithinUs, long idleUs, int most) {
+    public Lines(Turn turn, Counters counters, long openWithinUs, long idleUs, long restUs, int most) {
         this.turn = turn;
         this.counters = counters;
         this.openWithinUs = openWithinUs;
         this.idleUs = idleUs;
+        this.restUs = restUs;
         this.idle = new Idle<>(most, Line::drop);
         turn.soon(this::sweep);
     }
@@ -45,7 +52,8 @@
 
     /** Makes one call, on a connection that stands or on a new one; it is given up after {@code callUs}. */
     public Line call(InetSocketAddress address, ByteBuffer call, long callUs, Line.User user) {
-        for (Line line = idle.take(address); line != null; line = idle.take(address)) {
+        long restedUs = turn.nowUs() - restUs;
+        for (Line line = idle.take(address, restedUs); line != null; line = idle.take(address, restedUs)) {
             if (line.stands()) {
                 line.call(call, callUs, user);
                 return line;
@@ -80,6 +88,11 @@
         }
     }
 
+    void unreadable(InetSocketAddress address, UnreadableAnswer e) {
+        counters.add("answers unreadable");
+        LOG.log(Level.DEBUG, () -> "answer from " + address + ": " + e.getMessage());
+    }
+
     void gone(Line line) {
         idle.remove(line);
     }
--- a/src/main/java/gatelock/wire/SendOff.java
+++ b/src/main/java/gatelock/wire/SendOff.java
@@ -70,10 +70,11 @@
         }
 
         @Override
-        public void answered(UnitAnswer answer) {
+        public boolean answered(UnitAnswer answer) {
             boolean never = (answer.status() == 503 || answer.status() == 504)
                 && "1".equals(answer.header("X-Never-Ran"));
             end(answer.status() == 200 ? Ending.COMPLETED : never ? Ending.TURNED_AWAY : Ending.ERRORED, answer);
+            return true;
         }
 
         @Override
--- a/src/main/java/gatelock/wire/Turn.java
+++ b/src/main/java/gatelock/wire/Turn.java
@@ -45,11 +45,15 @@
         return reading.clear();
     }
 
-    private static void run(Runnable what) {
+    private void run(Runnable what) {
         try {
             what.run();
         } catch (RuntimeException | AssertionError e) {
-            LOG.log(Level.ERROR, "unexpected, goes on", e);
+            unexpected(e);
         }
     }
+
+    void unexpected(Throwable e) {
+        LOG.log(Level.ERROR, "unexpected, goes on", e);
+    }
 }
--- a/src/test/java/gatelock/StandIns.java
+++ b/src/test/java/gatelock/StandIns.java
@@ -39,6 +39,8 @@
     /** A party that notes all calls; the test answers them. */
     static final class Party implements AutoCloseable {
         final BlockingQueue<Came> calls = new LinkedBlockingQueue<>();
+        /** Connections that the program ended. */
+        final BlockingQueue<Socket> ended = new LinkedBlockingQueue<>();
         final List<Socket> connections = new CopyOnWriteArrayList<>();
         final ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
 
@@ -48,8 +50,12 @@
                     Socket socket = listener.accept();
                     connections.add(socket);
                     go(() -> {
-                        for (Came came = read(socket); came != null; came = read(socket)) {
-                            calls.add(came);
+                        try {
+                            for (Came came = read(socket); came != null; came = read(socket)) {
+                                calls.add(came);
+                            }
+                        } finally {
+                            ended.add(socket);
                         }
                     });
                 }
@@ -88,6 +94,7 @@
     final int port;
     final Path config;
     Process process;
+    private int logRead;
     private final Path log = Files.createTempFile("gatelock", ".log");
 
     StandIns() throws IOException {
@@ -136,6 +143,25 @@
         return Files.readString(log);
     }
 
+    /** Sends SIGHUP to the program. */
+    void hangUp() throws Exception {
+        new ProcessBuilder("kill", "-HUP", "" + process.pid()).start().waitFor();
+    }
+
+    /** Waits for one more line with this text. */
+    void awaitLog(String text) throws Exception {
+        for (int i = 0; i < 1200; i++) {
+            String all = log();
+            int at = all.indexOf(text, logRead);
+            if (at >= 0) {
+                logRead = at + text.length();
+                return;
+            }
+            Thread.sleep(50);
+        }
+        throw new AssertionError("no line with " + text + " in " + log());
+    }
+
     /** A client's connection. */
     Socket connect() throws IOException {
         Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
