Client connections are bounded in time from accept; odd reqs are turned away

Undertow turns away both lengths, repeated and negative ones; a Content-Length beyond a long it takes modulo 2^64 (HttpTransferEncoding.parsePositiveLong); it reads a refused body to its end before it answers (endExchange).

Now Front knows each connection from accept: 2.5 s until a req is whole, silent ones and then the longest idle make room at two fifths of the descriptors, and a refusal goes out before the body is read, the connection ending 0.5 s later.

--- a/src/main/java/gatelock/boot/Service.java
+++ b/src/main/java/gatelock/boot/Service.java
@@ -80,7 +80,7 @@
 
     private void run() {
         try {
-            front = new Front(turn, counters, told.sockets() * 3 / 4);
+            front = new Front(turn, counters, told.sockets() * 2 / 5);
             front.listen(told.listen());
             if (cold) {
                 serve(real -> real);
--- a/src/main/java/gatelock/wire/Front.java
+++ b/src/main/java/gatelock/wire/Front.java
@@ -6,40 +6,68 @@
 import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.server.ServerConnection;
 import io.undertow.server.protocol.http.HttpOpenListener;
+import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.util.Headers;
 
+import org.xnio.ChannelListener;
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.StreamConnection;
 import org.xnio.channels.AcceptingChannel;
+import org.xnio.channels.StreamSinkChannel;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
-/** The listener: client connections, how many there may be, readiness, and taking leave. */
+/**
+ * The listener: client connections, how many there may be and how long one may keep a req from being whole,
+ * readiness, and taking leave.
+ */
 public final class Front {
     private static final int BUFFER_BYTES = 4096;
     private static final int BACKLOG = 256;
-    private static final int SPARE = 32;
+    private static final int SPARE = 8;
     private static final long LOOK_AGAIN_US = 50_000;
+    /**
+     * Guards against clients that say nothing, or never come to the end of a head or body, and those that don't
+     * read their answer: from accept, and again from each answer, a connection has so long until the next req is
+     * whole. Should hold against any way of keeping a connection for nothing; could harm a client on a network
+     * so slow that one req takes as long.
+     */
+    private static final long WHOLE_WITHIN_US = 2_500_000;
+    /** A refusal of a req that is not whole may be read for so long before the connection ends. */
+    private static final long READABLE_US = 500_000;
 
     private final Turn turn;
     private final Counters counters;
     private final int most;
-    private final Map<ServerConnection, HttpServerExchange> clients = new LinkedHashMap<>();
+    /** All client connections; one that is owed an answer has null. */
+    private final Map<StreamConnection, Waiting> clients = new HashMap<>();
+    /** Those that never sent a whole req, and those between reqs, the longest waiting first. */
+    private final Set<StreamConnection> silent = new LinkedHashSet<>();
+    private final Set<StreamConnection> between = new LinkedHashSet<>();
     private AcceptingChannel<StreamConnection> listener;
     private HttpHandler takeIn;
     private boolean ready;
     private boolean leaving;
 
-    /** @param most client connections held at a time; further ones wait to be accepted */
+    /** A connection that owes a whole req since then; its last exchange, or null where none came yet. */
+    private record Waiting(long sinceUs, HttpServerExchange last) {
+        boolean idle() {
+            return last == null || last.isComplete();
+        }
+    }
+
+    /** @param most client connections held at a time; beyond that the longest idle make room */
     public Front(Turn turn, Counters counters, int most) {
         this.turn = turn;
         this.counters = counters;
@@ -49,8 +77,7 @@
     /** Listens; until {@link #admit} says that it is ready, a relay is not ready for clients. */
     public void listen(InetSocketAddress address) throws IOException {
         OptionMap http = OptionMap.builder().set(UndertowOptions.MAX_HEADER_SIZE, 16 * 1024)
-            .set(UndertowOptions.ALWAYS_SET_DATE, false).set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
-            .set(UndertowOptions.NO_REQUEST_TIMEOUT, 120_000).getMap();
+            .set(UndertowOptions.ALWAYS_SET_DATE, false).set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false).getMap();
         HttpOpenListener opened = new HttpOpenListener(
             new DefaultByteBufferPool(true, BUFFER_BYTES, 200, 0, 0), http);
         opened.setRootHandler(this::handle);
@@ -58,8 +85,37 @@
             .set(Options.BACKLOG, BACKLOG).set(Options.CONNECTION_HIGH_WATER, most + SPARE)
             .set(Options.CONNECTION_LOW_WATER, most + SPARE - 1).getMap();
         listener = turn.thread().getWorker().createStreamConnectionServer(address,
-            ChannelListeners.openListenerAdapter(opened), socket);
+            ChannelListeners.openListenerAdapter(connection -> accepted(connection, opened)), socket);
         listener.resumeAccepts();
+        turn.in(LOOK_AGAIN_US, this::closeOverdue);
+    }
+
+    private void accepted(StreamConnection connection, HttpOpenListener opened) {
+        counters.add("client connections");
+        clients.put(connection, new Waiting(turn.nowUs(), null));
+        silent.add(connection);
+        opened.handleEvent(connection);
+        // Undertow has set its own listener, which must go on hearing of the end.
+        ChannelListener<? super StreamConnection> undertows = connection.getCloseListener();
+        connection.setCloseListener(c -> {
+            gone(c);
+            ChannelListeners.invokeChannelListener(c, undertows);
+        });
+        if (!connection.isOpen()) {
+            gone(connection);
+        } else if (clients.size() > most) {
+            closeLongestIdle();
+        }
+    }
+
+    private void gone(StreamConnection connection) {
+        clients.remove(connection);
+        silent.remove(connection);
+        between.remove(connection);
+    }
+
+    private static StreamConnection connection(HttpServerExchange exchange) {
+        return ((HttpServerConnection) exchange.getConnection()).getChannel();
     }
 
     /** Names who takes reqs in from now on. */
@@ -69,7 +125,6 @@
     }
 
     private void handle(HttpServerExchange exchange) throws Exception {
-        busy(exchange);
         String path = exchange.getRequestPath();
         if (path.startsWith("/-/")) {
             boolean isReady = path.equals("/-/ready");
@@ -78,42 +133,93 @@
             last(exchange);
             exchange.endExchange();
         } else {
+            StreamConnection connection = connection(exchange);
+            if (between.remove(connection)) {
+                // The head is here; its body may take as long again.
+                waits(connection, exchange);
+            }
             takeIn.handleRequest(exchange);
         }
     }
 
-    /** Notes the connection a req came on, so that it is known which stand between reqs. */
-    private void busy(HttpServerExchange exchange) {
-        ServerConnection connection = exchange.getConnection();
-        if (clients.remove(connection) == null) {
-            counters.add("client connections");
-            connection.addCloseListener(clients::remove);
-        }
-        clients.put(connection, exchange);
-        if (clients.size() >= most) {
-            closeLongestIdle();
-        }
+    /** A req is whole: until it is answered, its connection owes nothing. */
+    void whole(HttpServerExchange exchange) {
+        StreamConnection connection = connection(exchange);
+        silent.remove(connection);
+        between.remove(connection);
+        clients.replace(connection, null);
     }
 
-    /** Guards against idle connections that keep others from being accepted. Could harm none but their owners. */
-    private void closeLongestIdle() {
-        for (Map.Entry<ServerConnection, HttpServerExchange> e : clients.entrySet()) {
-            if (e.getValue().isComplete()) {
-                counters.add("idle clients closed");
-                IoUtils.safeClose(e.getKey());
-                return;
-            }
+    private void waits(StreamConnection connection, HttpServerExchange exchange) {
+        if (clients.containsKey(connection)) {
+            clients.put(connection, new Waiting(turn.nowUs(), exchange));
+            silent.remove(connection);
+            between.remove(connection);
+            between.add(connection);
         }
     }
 
-    /** Says on the way out of an answer that the connection ends with it. */
+    /** An answer goes out: from now on the connection owes the next req; when leaving, it ends with this one. */
     void last(HttpServerExchange exchange) {
+        waits(connection(exchange), exchange);
         if (leaving) {
             exchange.setPersistent(false);
             exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
         }
     }
 
+    /**
+     * Answers a req that is not whole and never will be read. Undertow would read the rest before it answers;
+     * here the answer goes first, what is still sent is left unread, and soon the connection ends.
+     */
+    void refuseUnread(HttpServerExchange exchange) {
+        exchange.setPersistent(false);
+        exchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, "0");
+        last(exchange);
+        turn.in(READABLE_US, () -> IoUtils.safeClose(exchange.getConnection()));
+        try {
+            StreamSinkChannel out = exchange.getResponseChannel();
+            out.shutdownWrites();
+            out.flush();
+        } catch (IOException e) {
+            IoUtils.safeClose(exchange.getConnection());
+        }
+    }
+
+    private void closeOverdue() {
+        long sinceUs = turn.nowUs() - WHOLE_WITHIN_US;
+        for (Set<StreamConnection> some : List.of(silent, between)) {
+            while (!some.isEmpty()) {
+                StreamConnection first = some.iterator().next();
+                Waiting waiting = clients.get(first);
+                if (waiting.sinceUs > sinceUs) {
+                    break;
+                }
+                counters.add(waiting.last == null ? "clients closed, no whole req" : "clients closed, idle");
+                some.remove(first);
+                IoUtils.safeClose(first);
+            }
+        }
+        turn.in(LOOK_AGAIN_US, this::closeOverdue);
+    }
+
+    /**
+     * Guards against connections that keep others from being accepted: those that never sent a whole req go
+     * first, then those between reqs, the longest waiting first. Could harm a client whose first req is slow to
+     * come while very many others connect.
+     */
+    private void closeLongestIdle() {
+        for (Set<StreamConnection> some : List.of(silent, between)) {
+            for (StreamConnection c : some) {
+                if (clients.get(c).idle()) {
+                    counters.add("clients closed for room");
+                    IoUtils.safeClose(c);
+                    return;
+                }
+            }
+        }
+    }
+
     /**
      * Takes leave: serves what still comes for a while, then closes connections between reqs and ends when
      * all that was taken is answered.
@@ -127,8 +233,8 @@
     }
 
     private void closeWhenDone(Runnable then) {
-        for (Map.Entry<ServerConnection, HttpServerExchange> e : new ArrayList<>(clients.entrySet())) {
-            if (e.getValue().isComplete()) {
+        for (Map.Entry<StreamConnection, Waiting> e : new ArrayList<>(clients.entrySet())) {
+            if (e.getValue() != null && e.getValue().idle()) {
                 IoUtils.safeClose(e.getKey());
             }
         }
--- a/src/main/java/gatelock/wire/TakeIn.java
+++ b/src/main/java/gatelock/wire/TakeIn.java
@@ -35,6 +35,9 @@
 /** First stage: a client's req is read whole and checked for its form; the fields that matter are taken out. */
 public final class TakeIn implements HttpHandler {
     private static final int FIRST_CHUNKS = 1024;
+    private static final int MOST_DIGITS = 9;
+    private static final int MOST_ID = 256;
+    private static final long MOST_HINT_US = 3_600_000_000L;
     private static final HttpString TRACE = new HttpString("X-Trace-Id");
     private static final HttpString CUSTOMER = new HttpString("X-Customer");
     private static final HttpString EXPIRES = new HttpString("X-Expires-In-Ms");
@@ -66,11 +69,12 @@
 
     @Override
     public void handleRequest(HttpServerExchange exchange) {
-        String path = exchange.getRequestPath();
+        // Read from the path as it came, which goes on as it came.
+        String path = exchange.getRequestURI();
         long length = exchange.getRequestContentLength();
         int slash = path.indexOf('/', 1);
-        Integer route = names.routes.get(path.substring(Math.min(1, path.length()), slash < 0 ? path.length()
-            : slash));
+        Integer route = path.startsWith("/") ? names.routes.get(path.substring(1, slash < 0 ? path.length() : slash))
+            : null;
         int wrong = formOf(exchange, route, length);
         if (wrong != 0) {
             refuse(exchange, wrong);
@@ -123,7 +127,10 @@
         }
     }
 
-    /** 0, or the status for a req that can't be taken. */
+    /**
+     * 0, or the status for a req that can't be taken. Two lengths, or one that is negative or no number, Undertow
+     * itself turns away; one beyond what fits a long it would read as another.
+     */
     private int formOf(HttpServerExchange exchange, Integer route, long length) {
         HeaderMap headers = exchange.getRequestHeaders();
         if (route == null) {
@@ -134,28 +141,49 @@
         if (get != (repeat == Route.Repeat.RETRIABLE) || !get && !exchange.getRequestMethod().equalToString("POST")) {
             return 405;
         }
-        if (!get && length < 0 && !headers.contains(Headers.TRANSFER_ENCODING)) {
+        String coding = headers.getFirst(Headers.TRANSFER_ENCODING);
+        if (coding != null && !coding.trim().equalsIgnoreCase("chunked") || get && (coding != null || length > 0)) {
+            return 400;
+        }
+        if (!get && length < 0 && coding == null) {
             return 411;
         }
-        if (length > AnswerReader.MOST_BODY) {
+        String said = headers.getFirst(Headers.CONTENT_LENGTH);
+        if (length > AnswerReader.MOST_BODY || said != null && said.length() > MOST_DIGITS) {
             return 413;
         }
-        String id = headers.getFirst(TRACE);
-        boolean keyed = repeat != Route.Repeat.DEDUPED || headers.contains(ONCE);
-        return id == null || id.isEmpty() || !keyed ? 400 : 0;
+        if (headers.contains(Headers.EXPECT)) {
+            return 417;
+        }
+        String expires = headers.getFirst(EXPIRES);
+        boolean timed = expires == null || expiresMs(expires, names.deadlinesUs.get(route)) > 0;
+        boolean keyed = repeat != Route.Repeat.DEDUPED || once(headers, ONCE) != null;
+        return once(headers, TRACE) != null && keyed && timed && headers.count(EXPIRES) <= 1 ? 0 : 400;
+    }
+
+    /** The value of a field that must stand exactly once and not be empty; else null. */
+    private static String once(HeaderMap headers, HttpString name) {
+        String value = headers.count(name) == 1 ? headers.getFirst(name) : null;
+        return value == null || value.isEmpty() || value.length() > MOST_ID ? null : value;
+    }
+
+    /** How long a client waits, in ms; 0 if that is no whole number from 1 up to ten times its route's time. */
+    private static long expiresMs(String text, long routeUs) {
+        boolean digits = text.length() <= MOST_DIGITS && text.chars().allMatch(c -> c >= '0' && c <= '9');
+        long ms = digits && !text.isEmpty() ? Long.parseLong(text) : 0;
+        return routeUs > 0 && ms > routeUs / 100 ? 0 : ms;
     }
 
     /** Answers what was never taken. */
     private void refuse(HttpServerExchange exchange, int status) {
-        if (status >= 400) {
-            counters.add("not taken " + status);
-        }
+        counters.add("not taken " + status);
+        exchange.setStatusCode(status);
         if (!exchange.isRequestComplete()) {
-            exchange.setPersistent(false);
+            exchange.dispatch(SameThreadExecutor.INSTANCE, () -> front.refuseUnread(exchange));
+        } else {
+            front.last(exchange);
+            exchange.endExchange();
         }
-        exchange.setStatusCode(status);
-        front.last(exchange);
-        exchange.endExchange();
     }
 
     private void take(HttpServerExchange exchange, int route, byte[] body) {
@@ -165,8 +193,10 @@
             refuse(exchange, 400);
             return;
         }
-        long leftUs = number(headers.getFirst(EXPIRES), -1) * 1000;
-        long endUs = turn.nowUs() + (leftUs > 0 ? leftUs : names.deadlinesUs.get(route));
+        front.whole(exchange);
+        String expires = headers.getFirst(EXPIRES);
+        long routeUs = names.deadlinesUs.get(route);
+        long endUs = turn.nowUs() + (expires == null ? routeUs : expiresMs(expires, routeUs) * 1000);
         Integer tenant = names.tenants.get(headers.getFirst(CUSTOMER));
         HttpCaller caller = new HttpCaller(exchange);
         OpenReq req = new OpenReq(id, head(exchange, body.length), body, endUs, caller);
@@ -174,7 +204,7 @@
         int org = tenant == null ? names.tenants.size() : tenant;
         Cookie cookie = exchange.getRequestCookie("k");
         long key = key(cookie == null ? null : cookie.getValue());
-        long costUs = Math.max(0, number(headers.getFirst(HINT), 0));
+        long costUs = hint(headers.getFirst(HINT));
         // Undertow ends an exchange whose handler returns without having dispatched it.
         exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
             admit.admit(req, route, org, key, costUs);
@@ -219,12 +249,13 @@
         }
     }
 
-    /** A whole number; a missing or odd field counts as absent. */
-    private static long number(String text, long absent) {
+    /** A guess that a req may do without; an odd one counts as absent. */
+    private static long hint(String text) {
         try {
-            return text == null ? absent : Long.parseLong(text.trim());
+            long us = text == null ? 0 : Long.parseLong(text.trim());
+            return us > MOST_HINT_US ? 0 : Math.max(0, us);
         } catch (NumberFormatException e) {
-            return absent;
+            return 0;
         }
     }
 
