--- a/src/main/java/gatelock/boot/Chain.java
+++ b/src/main/java/gatelock/boot/Chain.java
@@ -41,7 +41,7 @@
         this.counters = counters;
         open = new OpenReqs(counters);
         // An idle connection is closed well before the unit would, so that no req crosses its end.
-        units = new Lines(turn, counters, told.openWithinUs(), told.idleUs() * 3 / 4, 2_000, told.sockets() / 8);
+        units = new Lines(turn, counters, told.openWithinUs(), told.idleUs() * 3 / 4, 2_000, told.sockets() * 2 / 5);
         RelayBack relayBack = new RelayBack(turn, open, counters);
         Book book = new Book(turn, open, counters, relayBack);
         RouteOut routeOut = new RouteOut(addresses, new SendOff(turn, units, book));
--- a/src/main/java/gatelock/boot/Main.java
+++ b/src/main/java/gatelock/boot/Main.java
@@ -7,8 +7,9 @@
 import java.util.logging.LogManager;
 
 /**
- * The command line: {@code serve} runs one relay ({@code serve cold} without its rehearsal), {@code wirehost}
- * the decisions on the simulator's wire.
+ * The command line: {@code serve} runs one relay ({@code serve cold} without its rehearsal), {@code rehearse} the
+ * rehearsal alone, for the build to learn which classes a relay needs, {@code wirehost} the decisions on the
+ * simulator's wire.
  */
 public final class Main {
 
@@ -26,14 +27,15 @@
     public static void main(String[] args) throws IOException {
         System.setProperty("java.util.logging.manager", StayingLog.class.getName());
         switch (String.join(" ", args)) {
-            case "serve" -> serve(false);
-            case "serve cold" -> serve(true);
+            case "serve" -> serve(Service.Start.REHEARSED);
+            case "serve cold" -> serve(Service.Start.COLD);
+            case "rehearse" -> serve(Service.Start.REHEARSAL_ONLY);
             case "wirehost" -> Wirehost.main(args);
-            default -> give("expected serve, serve cold or wirehost");
+            default -> give("expected serve, serve cold, rehearse or wirehost");
         }
     }
 
-    private static void serve(boolean cold) {
+    private static void serve(Service.Start how) {
         String file = System.getenv("PROXY_CONFIG");
         if (file == null) {
             give("PROXY_CONFIG names no configuration");
@@ -43,7 +45,7 @@
         Hangup.means(() -> { });
         Path path = Path.of(file);
         try {
-            Service.start(path, Configuration.read(path), cold);
+            Service.start(path, Configuration.read(path), how);
         } catch (IOException e) {
             give(e.getMessage());
         }
--- a/src/main/java/gatelock/boot/Rehearsal.java
+++ b/src/main/java/gatelock/boot/Rehearsal.java
@@ -16,6 +16,7 @@
 import org.xnio.IoUtils;
 
 import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -29,14 +30,15 @@
  */
 final class Rehearsal {
     private static final System.Logger LOG = System.getLogger("gatelock.boot");
-    private static final long LONGEST_US = 4_000_000;
+    private static final long LONGEST_US = 1_000_000;
     private static final long ONE_US = 500_000;
-    private static final int REQS = 12_000;
+    private static final int REQS = 4_000;
     private static final int AT_ONCE = 24;
     private static final int UNITS = 20;
     private static final byte[] ANSWER = new byte[200];
 
     private final Configuration told;
+    private final InetSocketAddress at;
     private final Turn turn;
     private final Front front;
     private final Consumer<Rehearsal> then;
@@ -48,8 +50,10 @@
     private int running;
     private boolean over;
 
-    Rehearsal(Configuration told, Turn turn, Front front, Consumer<Rehearsal> then) {
+    /** @param at where this relay listens */
+    Rehearsal(Configuration told, InetSocketAddress at, Turn turn, Front front, Consumer<Rehearsal> then) {
         this.told = told;
+        this.at = at;
         this.turn = turn;
         this.front = front;
         this.then = then;
@@ -63,7 +67,7 @@
         List<Listed> units = new ArrayList<>();
         for (int i = 0; i < UNITS; i++) {
             units.add(new Listed("rehearsal-" + i, i % 4 == 0 ? 1 : 0, i % 2, i % 2, 0, Listed.Health.READY, 0));
-            chain.addresses.put(told.listen(), units.get(i));
+            chain.addresses.put(at, units.get(i));
         }
         chain.gate.listed(turn.nowUs(), Gate.ListForm.FULL, units);
         chain.gate.news(turn.nowUs(), 1, 0, Gate.Phase.TRIAL, 0.3, 0, Gate.VoteAnswer.NOT_ASKED);
@@ -119,7 +123,7 @@
             + "\r\nX-Customer: none\r\nCookie: k=" + Integer.toHexString(n % 1000) + "\r\nX-Expires-In-Ms: 500\r\n"
             + "X-Size-Hint: 2000\r\n" + (get ? "" : "Idempotency-Key: " + n + "\r\nContent-Length: 200\r\n") + "\r\n"
             + body;
-        clients.call(told.listen(), StandardCharsets.US_ASCII.encode(text), ONE_US,
+        clients.call(at, StandardCharsets.US_ASCII.encode(text), ONE_US,
             new Line.User() {
                 @Override
                 public boolean answered(UnitAnswer answer) {
--- a/src/main/java/gatelock/boot/Service.java
+++ b/src/main/java/gatelock/boot/Service.java
@@ -13,6 +13,8 @@
 
 import java.io.IOException;
 import java.lang.System.Logger.Level;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.UnaryOperator;
@@ -25,26 +27,28 @@
     private static final long STACK_BYTES = 256 * 1024;
 
     private final Path file;
-    private final boolean cold;
+    private final Start how;
     private final Turn turn;
     private final Counters counters = new Counters();
     private Configuration told;
     private Front front;
     private Chain chain;
 
-    private Service(Path file, Configuration told, boolean cold, Turn turn) {
+    /** With a rehearsal, without, or nothing but one on a free port. */
+    enum Start { REHEARSED, COLD, REHEARSAL_ONLY }
+
+    private Service(Path file, Configuration told, Start how, Turn turn) {
         this.file = file;
         this.told = told;
-        this.cold = cold;
+        this.how = how;
         this.turn = turn;
     }
 
-    /** @param cold whether it serves at once, without a rehearsal */
-    static void start(Path file, Configuration told, boolean cold) throws IOException {
+    static void start(Path file, Configuration told, Start how) throws IOException {
         XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1)
             .set(Options.WORKER_TASK_CORE_THREADS, 1).set(Options.WORKER_TASK_MAX_THREADS, 1)
             .set(Options.STACK_SIZE, STACK_BYTES).set(Options.WORKER_NAME, "gatelock").getMap());
-        Service service = new Service(file, told, cold, new Turn(worker.getIoThread()));
+        Service service = new Service(file, told, how, new Turn(worker.getIoThread()));
         CountDownLatch left = new CountDownLatch(1);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             service.turn.soon(() -> service.front.leave(STILL_COMING_US, left::countDown));
@@ -81,11 +85,20 @@
     private void run() {
         try {
             front = new Front(turn, counters, told.sockets() * 2 / 5);
-            front.listen(told.listen());
-            if (cold) {
-                serve(real -> real);
-            } else {
-                new Rehearsal(told, turn, front, rehearsal -> serve(rehearsal::before)).begin();
+            switch (how) {
+                case COLD -> {
+                    front.listen(told.listen());
+                    serve(real -> real);
+                }
+                case REHEARSED -> {
+                    InetSocketAddress at = front.listen(told.listen());
+                    new Rehearsal(told, at, turn, front, rehearsal -> serve(rehearsal::before)).begin();
+                }
+                case REHEARSAL_ONLY -> {
+                    InetSocketAddress at = front.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+                    new Rehearsal(told, at, turn, front, rehearsal -> new Thread(() -> System.exit(0)).start())
+                        .begin();
+                }
             }
         } catch (IOException e) {
             give(e);
@@ -110,7 +123,8 @@
     }
 
     private void tellCounters() {
-        LOG.log(Level.INFO, "" + counters);
+        LOG.log(Level.INFO, counters + "; open reqs " + chain.open.size() + ", clients " + front.size() + ", units "
+            + chain.units);
         turn.in(COUNTERS_EVERY_US, this::tellCounters);
     }
 }
--- a/src/main/java/gatelock/decision/LikeLoad.java
+++ b/src/main/java/gatelock/decision/LikeLoad.java
@@ -1,5 +1,6 @@
 package gatelock.decision;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -31,6 +32,25 @@
         return Double.isNaN(own) ? usual(ANY_KIND, step(o)) : own;
     }
 
+    /**
+     * Rows {slowness against the usual under like load, slice}, highest first, of units older than so long.
+     * Where the earlier build never had as many in flight there is none: a trial unit that the cap fills fuller
+     * proves nothing by that.
+     */
+    double[][] against(List<Slice> slices, long warmUs) {
+        List<double[]> rows = new ArrayList<>();
+        for (int i = 0; i < slices.size(); i++) {
+            for (Outcome o : slices.get(i).outcomes()) {
+                double usual = usual(o);
+                if (!o.failed() && !Double.isNaN(usual) && o.ageUs() > warmUs) {
+                    rows.add(new double[] {o.slowness() / usual, i});
+                }
+            }
+        }
+        rows.sort((a, b) -> Double.compare(b[0], a[0]));
+        return rows.toArray(new double[0][]);
+    }
+
     private int step(Outcome o) {
         return Math.min(steps - 1, (int) o.load());
     }
--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -251,6 +251,13 @@
             u.health = l.health();
         }
         builds.values().forEach(b -> b.ready.clear());
+        // Ids, builds and keys come and go: a unit that left is forgotten with its last try, a build with its
+        // units once it is before all that is compared, a key once no build is left that it may not go to.
+        units.values().removeIf(u -> u.health == Listed.Health.GONE && u.out.isEmpty());
+        Build earlier = earlierThan(newest);
+        builds.keySet().removeIf(n -> earlier != null && n < earlier.number
+            && units.values().stream().noneMatch(u -> u.build.number == n));
+        pinned.values().removeIf(n -> builds.isEmpty() || n <= builds.firstKey());
         units.values().stream().filter(u -> u.health == Listed.Health.READY)
             .forEach(u -> u.build.ready.add(u));
         places = Math.max(1, builds.values().stream().mapToInt(b -> b.ready.size()).max().orElse(0));
@@ -989,8 +996,8 @@
             return Finding.ERRORS;
         }
         LikeLoad like = new LikeLoad(theirs, LOAD_STEPS, FEWEST / 2);
-        double[][] there = against(like, theirs, 0);
-        double[][] here = against(like, mine, Math.max(WARM_UP_US, charter.warmWithinUs()));
+        double[][] there = like.against(theirs, 0);
+        double[][] here = like.against(mine, Math.max(WARM_UP_US, charter.warmWithinUs()));
         if (here.length < fewest || there.length == 0) {
             return Finding.NO_VERDICT;
         }
@@ -1007,22 +1014,4 @@
         double[] found = Bootstrap.interval(slices.size(), DRAWS, TAIL, chance, figure);
         return new double[] {found[1] - (found[1] - found[0]) * stretch, found[2]};
     }
-
-    /**
-     * Rows {slowness against the usual under like load, slice}, highest first. Where the earlier build never
-     * had as many in flight there is none: a trial unit that the cap fills fuller proves nothing by that.
-     */
-    private double[][] against(LikeLoad like, List<Slice> slices, long warmUs) {
-        List<double[]> rows = new ArrayList<>();
-        for (int i = 0; i < slices.size(); i++) {
-            for (Outcome o : slices.get(i).outcomes()) {
-                double usual = like.usual(o);
-                if (!o.failed() && !Double.isNaN(usual) && o.ageUs() > warmUs) {
-                    rows.add(new double[] {o.slowness() / usual, i});
-                }
-            }
-        }
-        rows.sort((a, b) -> Double.compare(b[0], a[0]));
-        return rows.toArray(new double[0][]);
-    }
 }
--- a/src/main/java/gatelock/kept/Idle.java
+++ b/src/main/java/gatelock/kept/Idle.java
@@ -75,9 +75,16 @@
         }
     }
 
-    private void closeOldest() {
-        C connection = since.keySet().iterator().next();
-        remove(connection);
-        close.accept(connection);
+    /** Closes the one that has been idle longest, if there is one. */
+    public void closeOldest() {
+        if (!since.isEmpty()) {
+            C connection = since.keySet().iterator().next();
+            remove(connection);
+            close.accept(connection);
+        }
+    }
+
+    public int size() {
+        return since.size();
     }
 }
--- a/src/main/java/gatelock/kept/OpenReqs.java
+++ b/src/main/java/gatelock/kept/OpenReqs.java
@@ -16,6 +16,10 @@
         return byId.get(id);
     }
 
+    public int size() {
+        return byId.size();
+    }
+
     public void add(OpenReq req) {
         byId.put(req.id(), req);
     }
--- a/src/main/java/gatelock/wire/Front.java
+++ b/src/main/java/gatelock/wire/Front.java
@@ -59,6 +59,7 @@
     private HttpHandler takeIn;
     private boolean ready;
     private boolean leaving;
+    private long lookedUs;
 
     /** A connection that owes a whole req since then; its last exchange, or null where none came yet. */
     private record Waiting(long sinceUs, HttpServerExchange last) {
@@ -74,8 +75,8 @@
         this.most = most;
     }
 
-    /** Listens; until {@link #admit} says that it is ready, a relay is not ready for clients. */
-    public void listen(InetSocketAddress address) throws IOException {
+    /** Listens, and tells where; until {@link #admit} says that it is ready, a relay is not ready for clients. */
+    public InetSocketAddress listen(InetSocketAddress address) throws IOException {
         OptionMap http = OptionMap.builder().set(UndertowOptions.MAX_HEADER_SIZE, 16 * 1024)
             .set(UndertowOptions.ALWAYS_SET_DATE, false).set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false).getMap();
         HttpOpenListener opened = new HttpOpenListener(
@@ -88,6 +89,12 @@
             ChannelListeners.openListenerAdapter(connection -> accepted(connection, opened)), socket);
         listener.resumeAccepts();
         turn.in(LOOK_AGAIN_US, this::closeOverdue);
+        return listener.getLocalAddress(InetSocketAddress.class);
+    }
+
+    /** How many client connections there are. */
+    public int size() {
+        return clients.size();
     }
 
     private void accepted(StreamConnection connection, HttpOpenListener opened) {
@@ -187,9 +194,13 @@
     }
 
     private void closeOverdue() {
-        long sinceUs = turn.nowUs() - WHOLE_WITHIN_US;
+        long nowUs = turn.nowUs();
+        // A relay that comes late to this may not have read what clients sent in time.
+        boolean punctual = nowUs - lookedUs < 2 * LOOK_AGAIN_US;
+        lookedUs = nowUs;
+        long sinceUs = nowUs - WHOLE_WITHIN_US;
         for (Set<StreamConnection> some : List.of(silent, between)) {
-            while (!some.isEmpty()) {
+            while (punctual && !some.isEmpty()) {
                 StreamConnection first = some.iterator().next();
                 Waiting waiting = clients.get(first);
                 if (waiting.sinceUs > sinceUs) {
--- a/src/main/java/gatelock/wire/Lines.java
+++ b/src/main/java/gatelock/wire/Lines.java
@@ -17,6 +17,8 @@
     private final long openWithinUs;
     private final long idleUs;
     private final long restUs;
+    private final int most;
+    private int open;
     private boolean stopped;
 
     /**
@@ -25,7 +27,7 @@
      * @param restUs how long a connection is without a call before the next. Guards against bytes behind an answer
      *     that would be read as the next call's: what comes meanwhile ends the connection. Should hold against any
      *     late copy or noise; costs some connections more under load
-     * @param most how many are kept without a call
+     * @param most how many there may be; beyond that one without a call goes for each that is opened
      */
     public Lines(Turn turn, Counters counters, long openWithinUs, long idleUs, long restUs, int most) {
         this.turn = turn;
@@ -33,6 +35,7 @@
         this.openWithinUs = openWithinUs;
         this.idleUs = idleUs;
         this.restUs = restUs;
+        this.most = most;
         this.idle = new Idle<>(most, Line::drop);
         turn.soon(this::sweep);
     }
@@ -71,6 +74,10 @@
     private Line open(InetSocketAddress address, ByteBuffer call, long callUs, Consumer<byte[]> parts,
                       Line.User user) {
         counters.add("connections opened");
+        if (open >= most) {
+            idle.closeOldest();
+        }
+        open++;
         Line line = new Line(turn, this, address);
         line.open(openWithinUs, call, callUs, parts, user);
         return line;
@@ -93,7 +100,13 @@
         LOG.log(Level.DEBUG, () -> "answer from " + address + ": " + e.getMessage());
     }
 
+    @Override
+    public String toString() {
+        return open + " connections, " + idle.size() + " idle";
+    }
+
     void gone(Line line) {
+        open--;
         idle.remove(line);
     }
 }
--- a/src/main/java/gatelock/wire/SendOff.java
+++ b/src/main/java/gatelock/wire/SendOff.java
@@ -10,6 +10,8 @@
 
 /** Fourth stage: one try goes out on a connection of its own for the time, and its ending is found. */
 public final class SendOff {
+    private static final long SEEN_US = 2_000;
+
     private final Turn turn;
     private final Lines lines;
     private final Book book;
@@ -56,11 +58,16 @@
             line = lines.call(address, call, waitUs, this);
         }
 
-        /** Closes the connection: that is how a unit learns that nobody waits any more. */
+        /**
+         * Closes the connection: that is how a unit learns that nobody waits any more. The ending is told an
+         * instant later. Guards against a further try that is read at another unit before this end is: two were
+         * seen out at once. Should hold for any two units; costs a called off req that instant.
+         */
         private void callOff() {
             if (!ended) {
+                ended = true;
                 line.drop();
-                end(Ending.CANCELLED, null);
+                turn.in(SEEN_US, () -> end(Ending.CANCELLED, null));
             }
         }
 
--- /dev/null
+++ b/src/test/java/gatelock/LongDayTest.java
@@ -0,0 +1,120 @@
+package gatelock;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import gatelock.decision.ReleaseGate;
+import gatelock.kept.Addresses;
+import gatelock.kept.Idle;
+import gatelock.relay.Charter;
+import gatelock.relay.Ending;
+import gatelock.relay.Gate;
+import gatelock.relay.Handle;
+import gatelock.relay.Listed;
+import gatelock.relay.Load;
+import gatelock.relay.Outlet;
+import gatelock.relay.Rollout;
+import gatelock.relay.Route;
+import gatelock.relay.Verdict;
+
+import java.lang.reflect.Field;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** Units, builds, addresses, keys and reqs that come and go through a long day leave nothing behind. */
+final class LongDayTest {
+    private final List<String> sentTo = new ArrayList<>();
+
+    @Test
+    void theDecisionsForgetWhatLeft() throws Exception {
+        Rollout rollout = new Rollout(Rollout.Gatekeeping.COUNT, 1_000_000, 6_000_000, 2_000_000, new double[] {0.2, 1}, 0,
+            false, true, 2, 1, 10, false);
+        Gate gate = new ReleaseGate(new Charter(7, 1, List.of(new Route(Route.Repeat.RETRIABLE, Route.Group.ALL, 0, 250_000, 1)),
+            List.of(), 1, 3, true, true, 1_000_000, false, 0.5, 3_000_000, 2.5, 1_000_000, rollout), new Noting());
+        long nowUs = 1_000_000;
+        gate.start(nowUs);
+        for (int build = 1; build <= 200; build++) {
+            List<Listed> units = new ArrayList<>();
+            for (int i = 0; i < 6; i++) {
+                units.add(new Listed("u" + build + "-" + i / 3 + i, build - 1 + i / 3, 0, 0, 0, Listed.Health.READY, 0));
+            }
+            gate.listed(nowUs, Gate.ListForm.FULL, units);
+            gate.news(nowUs, build, 1, Gate.Phase.RELEASED, 1, 0, Gate.VoteAnswer.NOT_ASKED);
+            for (int i = 0; i < 20; i++) {
+                sentTo.clear();
+                Handle req = gate.take(nowUs, build + "/" + i, 0, 0, build * 100L + i, 500_000, 1_000);
+                nowUs += 20_000;
+                for (int t = 0; t < sentTo.size(); t++) {
+                    req.ended(nowUs, t, Ending.COMPLETED, 20_000, true, Load.NONE);
+                }
+                assertThat(req.settled()).isTrue();
+                gate.due(nowUs, 0);
+            }
+        }
+        bounded(gate, 100);
+    }
+
+    @Test
+    void addressesAndIdleConnectionsAreForgotten() throws Exception {
+        Addresses addresses = new Addresses();
+        Idle<Object> idle = new Idle<>(50, c -> { });
+        for (int i = 0; i < 1000; i++) {
+            InetSocketAddress at = new InetSocketAddress("127.0.0.1", 1 + i);
+            addresses.put(at, new Listed("a" + i, 1, 0, 0, 0, Listed.Health.READY, 0));
+            addresses.put(at, new Listed("a" + i, 1, 0, 0, 0, i % 2 == 0 ? Listed.Health.GONE : Listed.Health.DRAINING, 0));
+            idle.put(i, at, "connection" + i);
+        }
+        addresses.keepOnly(Set.of("a1"));
+        bounded(addresses, 1);
+        bounded(idle, 50);
+    }
+
+    private static void bounded(Object holder, int most) throws Exception {
+        for (Field field : holder.getClass().getDeclaredFields()) {
+            field.setAccessible(true);
+            Object held = field.get(holder);
+            int size = held instanceof Map<?, ?> map ? map.size() : held instanceof Collection<?> c ? c.size() : 0;
+            assertThat(size).as(field.getName()).isLessThanOrEqualTo(most);
+        }
+    }
+
+    /** Notes where tries go. */
+    private final class Noting implements Outlet {
+        @Override
+        public void send(String id, String unit, long timeoutUs) {
+            sentTo.add(unit);
+        }
+
+        @Override
+        public void shed(String id, long pauseUs) {
+        }
+
+        @Override
+        public void error(String id) {
+        }
+
+        @Override
+        public void cancel(String id, int tryNo) {
+        }
+
+        @Override
+        public void vote(int build, int stage, Verdict verdict) {
+        }
+
+        @Override
+        public void timer(long inUs, long token) {
+        }
+
+        @Override
+        public void followList() {
+        }
+
+        @Override
+        public void say(String line) {
+        }
+    }
+}
