Idle client connections make room from a quarter of the descriptors on; new ones go last

Clients that ask once and stay filled the third that clients may hold, so that they could open no further one. Lines at fault: Front.closeLongestIdle (a connection that had just come went before idle ones), its one limit, and 2.5 s between reqs where 2 s is owed.

--- a/src/main/java/gatelock/boot/Service.java
+++ b/src/main/java/gatelock/boot/Service.java
@@ -84,7 +84,7 @@
 
     private void run() {
         try {
-            front = new Front(turn, counters, told.sockets() * 2 / 5);
+            front = new Front(turn, counters, told.sockets() / 4, told.sockets() * 2 / 5);
             switch (how) {
                 case COLD -> {
                     front.listen(told.listen());
--- a/src/main/java/gatelock/wire/Front.java
+++ b/src/main/java/gatelock/wire/Front.java
@@ -39,39 +39,50 @@
     private static final long LOOK_AGAIN_US = 50_000;
     /**
      * Guards against clients that say nothing, or never come to the end of a head or body, and those that don't
-     * read their answer: from accept, and again from each answer, a connection has so long until the next req is
-     * whole. Should hold against any way of keeping a connection for nothing; could harm a client on a network
-     * so slow that one req takes as long.
+     * read their answer: a connection has so long until its first req is whole, or a body after its head. Should
+     * hold against any way of keeping a connection for nothing; could harm a client on a network so slow that
+     * one req takes as long.
      */
     private static final long WHOLE_WITHIN_US = 2_500_000;
+    /** A usual client says something sooner than this. */
+    private static final long SOON_US = 300_000;
+    /** Between reqs: so long from an answer. Guards against clients that ask once and stay. */
+    private static final long IDLE_US = 2_000_000;
     /** A refusal of a req that is not whole may be read for so long before the connection ends. */
     private static final long READABLE_US = 500_000;
 
     private final Turn turn;
     private final Counters counters;
     private final int most;
+    private final int withEase;
     /** All client connections; one that is owed an answer has null. */
     private final Map<StreamConnection, Waiting> clients = new HashMap<>();
     /** Those that never sent a whole req, and those between reqs, the longest waiting first. */
     private final Set<StreamConnection> silent = new LinkedHashSet<>();
     private final Set<StreamConnection> between = new LinkedHashSet<>();
+    /** Those of which a later req's head has come, but not its body. */
+    private final Set<StreamConnection> bodies = new LinkedHashSet<>();
     private AcceptingChannel<StreamConnection> listener;
     private HttpHandler takeIn;
     private boolean ready;
     private boolean leaving;
     private long lookedUs;
 
-    /** A connection that owes a whole req since then; its last exchange, or null where none came yet. */
-    private record Waiting(long sinceUs, HttpServerExchange last) {
+    /** A connection that owes a whole req by then; its last exchange, or null where none came yet. */
+    private record Waiting(long byUs, HttpServerExchange last) {
         boolean idle() {
             return last == null || last.isComplete();
         }
     }
 
-    /** @param most client connections held at a time; beyond that the longest idle make room */
-    public Front(Turn turn, Counters counters, int most) {
+    /**
+     * @param withEase client connections held at a time; beyond that idle ones make room
+     * @param most beyond that all that wait for a first req do, and further ones are not accepted
+     */
+    public Front(Turn turn, Counters counters, int withEase, int most) {
         this.turn = turn;
         this.counters = counters;
+        this.withEase = withEase;
         this.most = most;
     }
 
@@ -99,7 +110,7 @@
 
     private void accepted(StreamConnection connection, HttpOpenListener opened) {
         counters.add("client connections");
-        clients.put(connection, new Waiting(turn.nowUs(), null));
+        clients.put(connection, new Waiting(turn.nowUs() + WHOLE_WITHIN_US, null));
         silent.add(connection);
         opened.handleEvent(connection);
         // Undertow has set its own listener, which must go on hearing of the end.
@@ -110,8 +121,8 @@
         });
         if (!connection.isOpen()) {
             gone(connection);
-        } else if (clients.size() > most) {
-            closeLongestIdle();
+        } else if (clients.size() > withEase) {
+            makeRoom();
         }
     }
 
@@ -119,6 +130,7 @@
         clients.remove(connection);
         silent.remove(connection);
         between.remove(connection);
+        bodies.remove(connection);
     }
 
     private static StreamConnection connection(HttpServerExchange exchange) {
@@ -143,7 +155,8 @@
             StreamConnection connection = connection(exchange);
             if (between.remove(connection)) {
                 // The head is here; its body may take as long again.
-                waits(connection, exchange);
+                clients.put(connection, new Waiting(turn.nowUs() + WHOLE_WITHIN_US, exchange));
+                bodies.add(connection);
             }
             takeIn.handleRequest(exchange);
         }
@@ -154,21 +167,19 @@
         StreamConnection connection = connection(exchange);
         silent.remove(connection);
         between.remove(connection);
+        bodies.remove(connection);
         clients.replace(connection, null);
     }
 
-    private void waits(StreamConnection connection, HttpServerExchange exchange) {
-        if (clients.containsKey(connection)) {
-            clients.put(connection, new Waiting(turn.nowUs(), exchange));
-            silent.remove(connection);
-            between.remove(connection);
-            between.add(connection);
-        }
-    }
 
     /** An answer goes out: from now on the connection owes the next req; when leaving, it ends with this one. */
     void last(HttpServerExchange exchange) {
-        waits(connection(exchange), exchange);
+        StreamConnection connection = connection(exchange);
+        if (clients.containsKey(connection)) {
+            whole(exchange);
+            clients.put(connection, new Waiting(turn.nowUs() + IDLE_US, exchange));
+            between.add(connection);
+        }
         if (leaving) {
             exchange.setPersistent(false);
             exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
@@ -198,15 +209,14 @@
         // A relay that comes late to this may not have read what clients sent in time.
         boolean punctual = nowUs - lookedUs < 2 * LOOK_AGAIN_US;
         lookedUs = nowUs;
-        long sinceUs = nowUs - WHOLE_WITHIN_US;
-        for (Set<StreamConnection> some : List.of(silent, between)) {
+        for (Set<StreamConnection> some : List.of(silent, between, bodies)) {
             while (punctual && !some.isEmpty()) {
                 StreamConnection first = some.iterator().next();
                 Waiting waiting = clients.get(first);
-                if (waiting.sinceUs > sinceUs) {
+                if (waiting.byUs > nowUs) {
                     break;
                 }
-                counters.add(waiting.last == null ? "clients closed, no whole req" : "clients closed, idle");
+                counters.add(some == between ? "clients closed, idle" : "clients closed, no whole req");
                 some.remove(first);
                 IoUtils.safeClose(first);
             }
@@ -215,19 +225,19 @@
     }
 
     /**
-     * Guards against connections that keep others from being accepted: those that never sent a whole req go
-     * first, then those between reqs, the longest waiting first. Could harm a client whose first req is slow to
-     * come while very many others connect.
+     * Guards against connections that keep others from being accepted, or clients from opening one more. Beyond
+     * what is held with ease, those that are silent for a while go first, then those between reqs; beyond the most,
+     * any that is silent; the longest waiting first. A connection that has just come is silent only until its
+     * req is read. Could harm a client whose first req is slow to come while very many others connect.
      */
-    private void closeLongestIdle() {
-        for (Set<StreamConnection> some : List.of(silent, between)) {
-            for (StreamConnection c : some) {
-                if (clients.get(c).idle()) {
-                    counters.add("clients closed for room");
-                    IoUtils.safeClose(c);
-                    return;
-                }
-            }
+    private void makeRoom() {
+        long saidNothingBy = turn.nowUs() + WHOLE_WITHIN_US - SOON_US;
+        StreamConnection goes = silent.stream().findFirst().filter(c -> clients.get(c).byUs < saidNothingBy)
+            .or(() -> between.stream().filter(c -> clients.get(c).idle()).findFirst())
+            .or(() -> silent.stream().filter(c -> clients.size() > most).findFirst()).orElse(null);
+        if (goes != null) {
+            counters.add(silent.contains(goes) ? "clients closed for room, silent" : "clients closed for room, idle");
+            IoUtils.safeClose(goes);
         }
     }
 
--- a/src/test/java/gatelock/RelayTest.java
+++ b/src/test/java/gatelock/RelayTest.java
@@ -224,6 +224,30 @@
         }
     }
 
+    @Test
+    void clientsThatAskOnceAndStayMakeRoomForThoseThatHaveJustCome() throws Exception {
+        Files.writeString(all.config, Files.readString(all.config).replace("\"sockets\": 1024", "\"sockets\": 128"));
+        all.start();
+        List<Socket> staying = new ArrayList<>();
+        for (int i = 0; i < 60; i++) {
+            Socket client = all.connect();
+            staying.add(client);
+            ask(client, "GET /read", "stays" + i, "", "");
+            all.unit.next().answer("200 OK", "", "fine");
+            assertThat(read(client).body()).isEqualTo("fine");
+        }
+        try (Socket first = all.connect(); Socket second = all.connect()) {
+            for (Socket client : List.of(second, first)) {
+                ask(client, "GET /read", "comes", "", "");
+                all.unit.next().answer("200 OK", "", "mine");
+                assertThat(read(client).body()).isEqualTo("mine");
+            }
+        }
+        for (Socket s : staying) {
+            s.close();
+        }
+    }
+
     private static boolean ends(Socket socket) throws IOException {
         return turnedAway(socket, "none");
     }
