Front takes a connection off its lists in one place; AnswerReader asks for 204 and 304 once

Found on reading the change again: the three removals stood in gone and in whole, and last went through whole only to overwrite what it had set; the statuses without a body were tested twice in headersEnd.

--- a/src/main/java/gatelock/wire/AnswerReader.java
+++ b/src/main/java/gatelock/wire/AnswerReader.java
@@ -158,11 +158,10 @@
         }
         String coding = only("Transfer-Encoding");
         String length = only("Content-Length");
-        if (coding == null == (length == null) && status != 204 && status != 304) {
-            throw new UnreadableAnswer("no length, or two");
-        }
         if (status == 204 || status == 304) {
             part = Part.WHOLE;
+        } else if (coding == null == (length == null)) {
+            throw new UnreadableAnswer("no length, or two");
         } else if (coding != null) {
             if (!coding.equalsIgnoreCase("chunked")) {
                 throw new UnreadableAnswer("unknown coding");
--- a/src/main/java/gatelock/wire/Front.java
+++ b/src/main/java/gatelock/wire/Front.java
@@ -128,6 +128,10 @@
 
     private void gone(StreamConnection connection) {
         clients.remove(connection);
+        owesNothing(connection);
+    }
+
+    private void owesNothing(StreamConnection connection) {
         silent.remove(connection);
         between.remove(connection);
         bodies.remove(connection);
@@ -165,18 +169,15 @@
     /** A req is whole: until it is answered, its connection owes nothing. */
     void whole(HttpServerExchange exchange) {
         StreamConnection connection = connection(exchange);
-        silent.remove(connection);
-        between.remove(connection);
-        bodies.remove(connection);
+        owesNothing(connection);
         clients.replace(connection, null);
     }
 
-
     /** An answer goes out: from now on the connection owes the next req; when leaving, it ends with this one. */
     void last(HttpServerExchange exchange) {
         StreamConnection connection = connection(exchange);
         if (clients.containsKey(connection)) {
-            whole(exchange);
+            owesNothing(connection);
             clients.put(connection, new Waiting(turn.nowUs() + IDLE_US, exchange));
             between.add(connection);
         }
