Clients ends every client connection, after a look at what lies unread on it

Change: gatelock.kept.Clients holds each client connection in one state and alone says whether it may end; one that stands still is looked at for unread bytes first (Inflow, under Undertow), one midway gets one more turn. Reasons are counted, and logged at DEBUG. After SIGTERM standing connections are served on until 0.75 s before the process may be killed, then answers end them; the second of two relays restarted 3 s apart no longer leaves while the first is still away.

--- a/src/main/java/gatelock/boot/Service.java
+++ b/src/main/java/gatelock/boot/Service.java
@@ -22,7 +22,12 @@
 /** One running relay: puts the parts together on one I/O thread, starts them, and takes leave on SIGTERM. */
 final class Service {
     private static final System.Logger LOG = System.getLogger("gatelock.boot");
-    private static final long STILL_COMING_US = 600_000;
+    /**
+     * After SIGTERM the platform leaves a relay alive for its longest deadline, or this where that is longer, and
+     * for a while on top, in which front and clients hear of it.
+     */
+    private static final long LONGEST_COUNTED_US = 3_000_000;
+    private static final long ON_TOP_US = 700_000;
     private static final long COUNTERS_EVERY_US = 60_000_000;
     private static final long STACK_BYTES = 256 * 1024;
 
@@ -51,7 +56,7 @@
         Service service = new Service(file, told, how, new Turn(worker.getIoThread()));
         CountDownLatch left = new CountDownLatch(1);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            service.turn.soon(() -> service.front.leave(STILL_COMING_US, left::countDown));
+            service.turn.soon(() -> service.leave(left::countDown));
             try {
                 left.await();
             } catch (InterruptedException e) {
@@ -64,6 +69,11 @@
         Hangup.means(() -> worker.execute(service::readAnew));
     }
 
+    private void leave(Runnable then) {
+        long longestUs = told.deadlinesUs().stream().mapToLong(Long::longValue).max().orElse(0);
+        front.leave(Math.min(longestUs, LONGEST_COUNTED_US) + ON_TOP_US, then);
+    }
+
     private void readAnew() {
         try {
             Configuration now = Configuration.read(file);
--- a/src/main/java/gatelock/wire/Front.java
+++ b/src/main/java/gatelock/wire/Front.java
@@ -1,5 +1,6 @@
 package gatelock.wire;
 
+import gatelock.kept.Clients;
 import gatelock.kept.Counters;
 
 import io.undertow.UndertowOptions;
@@ -20,60 +21,40 @@
 import org.xnio.channels.StreamSinkChannel;
 
 import java.io.IOException;
+import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashSet;
-import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 /**
  * The listener: client connections, how many there may be and how long one may keep a req from being whole,
  * readiness, and taking leave.
  */
 public final class Front {
+    private static final System.Logger LOG = System.getLogger("gatelock.wire");
     private static final int BUFFER_BYTES = 4096;
     private static final int BACKLOG = 256;
     private static final int SPARE = 8;
     private static final long LOOK_AGAIN_US = 50_000;
-    /**
-     * Guards against clients that say nothing, or never come to the end of a head or body, and those that don't
-     * read their answer: a connection has so long until its first req is whole, or a body after its head. Should
-     * hold against any way of keeping a connection for nothing; could harm a client on a network so slow that
-     * one req takes as long.
-     */
-    private static final long WHOLE_WITHIN_US = 2_500_000;
-    /** A usual client says something sooner than this. */
-    private static final long SOON_US = 300_000;
-    /** Between reqs: so long from an answer. Guards against clients that ask once and stay. */
-    private static final long IDLE_US = 2_000_000;
     /** A refusal of a req that is not whole may be read for so long before the connection ends. */
     private static final long READABLE_US = 500_000;
+    /** After SIGTERM new connections go on coming for so long. */
+    private static final long STILL_COMING_US = 600_000;
+    /** A relay that leaves has its last answer out so long before it may be killed. */
+    private static final long SPARE_US = 150_000;
+    /** The last reqs that a relay takes when it leaves have so long. */
+    private static final long LAST_REQS_US = 600_000;
 
     private final Turn turn;
-    private final Counters counters;
     private final int most;
-    private final int withEase;
-    /** All client connections; one that is owed an answer has null. */
-    private final Map<StreamConnection, Waiting> clients = new HashMap<>();
-    /** Those that never sent a whole req, and those between reqs, the longest waiting first. */
-    private final Set<StreamConnection> silent = new LinkedHashSet<>();
-    private final Set<StreamConnection> between = new LinkedHashSet<>();
-    /** Those of which a later req's head has come, but not its body. */
-    private final Set<StreamConnection> bodies = new LinkedHashSet<>();
+    private final Clients<StreamConnection> clients;
+    private final Map<StreamConnection, Inflow> inflows = new HashMap<>();
     private AcceptingChannel<StreamConnection> listener;
     private HttpHandler takeIn;
     private boolean ready;
+    private boolean notReady;
     private boolean leaving;
-    private long lookedUs;
-
-    /** A connection that owes a whole req by then; its last exchange, or null where none came yet. */
-    private record Waiting(long byUs, HttpServerExchange last) {
-        boolean idle() {
-            return last == null || last.isComplete();
-        }
-    }
+    private long answeredByUs = Long.MAX_VALUE;
 
     /**
      * @param withEase client connections held at a time; beyond that idle ones make room
@@ -81,9 +62,19 @@
      */
     public Front(Turn turn, Counters counters, int withEase, int most) {
         this.turn = turn;
-        this.counters = counters;
-        this.withEase = withEase;
         this.most = most;
+        this.clients = new Clients<>(counters, new Clients.Sockets<>() {
+            @Override
+            public boolean unread(StreamConnection connection) {
+                return inflows.get(connection).unread();
+            }
+
+            @Override
+            public void end(StreamConnection connection, Clients.State state, Clients.Why why) {
+                LOG.log(Level.DEBUG, () -> "client " + connection.getPeerAddress() + " closed, " + state + ", " + why);
+                IoUtils.safeClose(connection);
+            }
+        }, withEase, most);
     }
 
     /** Listens, and tells where; until {@link #admit} says that it is ready, a relay is not ready for clients. */
@@ -109,9 +100,11 @@
     }
 
     private void accepted(StreamConnection connection, HttpOpenListener opened) {
-        counters.add("client connections");
-        clients.put(connection, new Waiting(turn.nowUs() + WHOLE_WITHIN_US, null));
-        silent.add(connection);
+        Inflow inflow = new Inflow(connection.getSourceChannel().getConduit(),
+            () -> clients.bytes(turn.nowUs(), connection));
+        connection.getSourceChannel().setConduit(inflow);
+        inflows.put(connection, inflow);
+        clients.came(turn.nowUs(), connection);
         opened.handleEvent(connection);
         // Undertow has set its own listener, which must go on hearing of the end.
         ChannelListener<? super StreamConnection> undertows = connection.getCloseListener();
@@ -121,20 +114,14 @@
         });
         if (!connection.isOpen()) {
             gone(connection);
-        } else if (clients.size() > withEase) {
-            makeRoom();
+        } else {
+            clients.makeRoom(turn.nowUs());
         }
     }
 
     private void gone(StreamConnection connection) {
-        clients.remove(connection);
-        owesNothing(connection);
-    }
-
-    private void owesNothing(StreamConnection connection) {
-        silent.remove(connection);
-        between.remove(connection);
-        bodies.remove(connection);
+        clients.gone(connection);
+        inflows.remove(connection);
     }
 
     private static StreamConnection connection(HttpServerExchange exchange) {
@@ -151,42 +138,42 @@
         String path = exchange.getRequestPath();
         if (path.startsWith("/-/")) {
             boolean isReady = path.equals("/-/ready");
-            exchange.setStatusCode(isReady && ready && !leaving || path.equals("/-/healthy") ? 200 : isReady ? 503
+            exchange.setStatusCode(isReady && ready && !notReady || path.equals("/-/healthy") ? 200 : isReady ? 503
                 : 404);
             last(exchange);
             exchange.endExchange();
         } else {
-            StreamConnection connection = connection(exchange);
-            if (between.remove(connection)) {
-                // The head is here; its body may take as long again.
-                clients.put(connection, new Waiting(turn.nowUs() + WHOLE_WITHIN_US, exchange));
-                bodies.add(connection);
-            }
+            // Read together with the req before it, it came without a read of its own.
+            clients.bytes(turn.nowUs(), connection(exchange));
             takeIn.handleRequest(exchange);
         }
     }
 
-    /** A req is whole: until it is answered, its connection owes nothing. */
+    /** A req is whole: until it is answered, its connection stays. */
     void whole(HttpServerExchange exchange) {
-        StreamConnection connection = connection(exchange);
-        owesNothing(connection);
-        clients.replace(connection, null);
+        clients.whole(connection(exchange));
     }
 
-    /** An answer goes out: from now on the connection owes the next req; when leaving, it ends with this one. */
+    /** An answer goes out, and the connection owes the next req once it has left; when leaving, it ends with this. */
     void last(HttpServerExchange exchange) {
         StreamConnection connection = connection(exchange);
-        if (clients.containsKey(connection)) {
-            owesNothing(connection);
-            clients.put(connection, new Waiting(turn.nowUs() + IDLE_US, exchange));
-            between.add(connection);
-        }
+        clients.answering(turn.nowUs(), connection);
+        exchange.addExchangeCompleteListener((done, next) -> {
+            boolean more = ((HttpServerConnection) done.getConnection()).getExtraBytes() != null;
+            clients.answered(turn.nowUs(), connection, more);
+            next.proceed();
+        });
         if (leaving) {
             exchange.setPersistent(false);
             exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
         }
     }
 
+    /** The client has left, or broke off its own req. */
+    void left(HttpServerExchange exchange) {
+        clients.end(turn.nowUs(), connection(exchange), Clients.Why.LEFT);
+    }
+
     /**
      * Answers a req that is not whole and never will be read. Undertow would read the rest before it answers;
      * here the answer goes first, what is still sent is left unread, and soon the connection ends.
@@ -195,75 +182,53 @@
         exchange.setPersistent(false);
         exchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, "0");
         last(exchange);
-        turn.in(READABLE_US, () -> IoUtils.safeClose(exchange.getConnection()));
+        StreamConnection connection = connection(exchange);
+        turn.in(READABLE_US, () -> clients.end(turn.nowUs(), connection, Clients.Why.REFUSED));
         try {
             StreamSinkChannel out = exchange.getResponseChannel();
             out.shutdownWrites();
             out.flush();
         } catch (IOException e) {
-            IoUtils.safeClose(exchange.getConnection());
+            clients.end(turn.nowUs(), connection, Clients.Why.REFUSED);
         }
     }
 
     private void closeOverdue() {
-        long nowUs = turn.nowUs();
-        // A relay that comes late to this may not have read what clients sent in time.
-        boolean punctual = nowUs - lookedUs < 2 * LOOK_AGAIN_US;
-        lookedUs = nowUs;
-        for (Set<StreamConnection> some : List.of(silent, between, bodies)) {
-            while (punctual && !some.isEmpty()) {
-                StreamConnection first = some.iterator().next();
-                Waiting waiting = clients.get(first);
-                if (waiting.byUs > nowUs) {
-                    break;
-                }
-                counters.add(some == between ? "clients closed, idle" : "clients closed, no whole req");
-                some.remove(first);
-                IoUtils.safeClose(first);
-            }
-        }
+        clients.endOverdue(turn.nowUs());
         turn.in(LOOK_AGAIN_US, this::closeOverdue);
     }
 
-    /**
-     * Guards against connections that keep others from being accepted, or clients from opening one more. Beyond
-     * what is held with ease, those that are silent for a while go first, then those between reqs; beyond the most,
-     * any that is silent; the longest waiting first. A connection that has just come is silent only until its
-     * req is read. Could harm a client whose first req is slow to come while very many others connect.
-     */
-    private void makeRoom() {
-        long saidNothingBy = turn.nowUs() + WHOLE_WITHIN_US - SOON_US;
-        StreamConnection goes = silent.stream().findFirst().filter(c -> clients.get(c).byUs < saidNothingBy)
-            .or(() -> between.stream().filter(c -> clients.get(c).idle()).findFirst())
-            .or(() -> silent.stream().filter(c -> clients.size() > most).findFirst()).orElse(null);
-        if (goes != null) {
-            counters.add(silent.contains(goes) ? "clients closed for room, silent" : "clients closed for room, idle");
-            IoUtils.safeClose(goes);
-        }
+    /** Until when all that is taken must be answered: for ever, but for a relay that leaves. */
+    long answeredByUs() {
+        return answeredByUs;
     }
 
     /**
-     * Takes leave: serves what still comes for a while, then closes connections between reqs and ends when
-     * all that was taken is answered.
+     * Takes leave. New connections are taken for a while, since the front in between hears late of it; those that
+     * stand are served on for as long as a req can still be answered before the process is ended for good; then
+     * answers end their connections, and it is over when none is left.
+     *
+     * @param killedUs from now on, how long the process is left alive at the least
      */
-    public void leave(long stillComingUs, Runnable then) {
-        leaving = true;
-        turn.in(stillComingUs, () -> {
+    public void leave(long killedUs, Runnable then) {
+        notReady = true;
+        answeredByUs = turn.nowUs() + killedUs - SPARE_US;
+        long stayUs = Math.max(STILL_COMING_US, killedUs - SPARE_US - LAST_REQS_US);
+        turn.in(STILL_COMING_US, () -> {
             IoUtils.safeClose(listener);
-            closeWhenDone(then);
+            endWhenDone(then);
         });
+        turn.in(stayUs, () -> leaving = true);
     }
 
-    private void closeWhenDone(Runnable then) {
-        for (Map.Entry<StreamConnection, Waiting> e : new ArrayList<>(clients.entrySet())) {
-            if (e.getValue() != null && e.getValue().idle()) {
-                IoUtils.safeClose(e.getKey());
-            }
+    private void endWhenDone(Runnable then) {
+        if (leaving) {
+            clients.endIdle(turn.nowUs());
         }
-        if (clients.isEmpty()) {
+        if (clients.size() == 0) {
             then.run();
         } else {
-            turn.in(LOOK_AGAIN_US, () -> closeWhenDone(then));
+            turn.in(LOOK_AGAIN_US, () -> endWhenDone(then));
         }
     }
 }
--- a/src/main/java/gatelock/wire/TakeIn.java
+++ b/src/main/java/gatelock/wire/TakeIn.java
@@ -20,7 +20,6 @@
 import io.undertow.util.SameThreadExecutor;
 
 import org.xnio.ChannelListener;
-import org.xnio.IoUtils;
 import org.xnio.channels.StreamSourceChannel;
 import org.xnio.conduits.StreamSourceConduit;
 
@@ -122,7 +121,7 @@
             } catch (IOException e) {
                 // The client left or broke its own framing before the req was whole: it was never taken.
                 counters.add("not taken, broken off");
-                IoUtils.safeClose(exchange.getConnection());
+                front.left(exchange);
             }
         }
     }
@@ -196,7 +195,8 @@
         front.whole(exchange);
         String expires = headers.getFirst(EXPIRES);
         long routeUs = names.deadlinesUs.get(route);
-        long endUs = turn.nowUs() + (expires == null ? routeUs : expiresMs(expires, routeUs) * 1000);
+        long waitsUs = expires == null ? routeUs : expiresMs(expires, routeUs) * 1000;
+        long endUs = Math.min(turn.nowUs() + waitsUs, front.answeredByUs());
         Integer tenant = names.tenants.get(headers.getFirst(CUSTOMER));
         HttpCaller caller = new HttpCaller(exchange);
         OpenReq req = new OpenReq(id, head(exchange, body.length), body, endUs, caller);
@@ -302,7 +302,7 @@
                 pooled.close();
             }
             admit.left(req);
-            IoUtils.safeClose(connection);
+            front.left(exchange);
         }
 
         @Override
--- a/src/test/java/gatelock/RelayTest.java
+++ b/src/test/java/gatelock/RelayTest.java
@@ -424,6 +424,17 @@
             all.process.destroy();
             at.answer("200 OK", "", "answered");
             assertThat(read(client).body()).isEqualTo("answered");
+            // A connection that stands is served on for a while, then an answer ends it.
+            StandIns.Came answer;
+            int served = 0;
+            do {
+                ask(client, "GET /read", "more" + served++, "", "");
+                all.unit.next().answer("200 OK", "", "more");
+                answer = read(client);
+                assertThat(answer.body()).isEqualTo("more");
+                Thread.sleep(50);
+            } while (!"close".equals(answer.header("Connection")));
+            assertThat(served).isGreaterThan(10);
             assertThat(read(client)).isNull();
         }
         assertThat(all.process.waitFor(20, TimeUnit.SECONDS)).isTrue();
--- a/src/test/java/gatelock/StandIns.java
+++ b/src/test/java/gatelock/StandIns.java
@@ -145,7 +145,11 @@
 
     /** Sends SIGHUP to the program. */
     void hangUp() throws Exception {
-        new ProcessBuilder("kill", "-HUP", "" + process.pid()).start().waitFor();
+        signal("HUP");
+    }
+
+    void signal(String name) throws Exception {
+        new ProcessBuilder("kill", "-" + name, "" + process.pid()).start().waitFor();
     }
 
     /** Waits for one more line with this text. */
