--- a/src/main/java/gatelock/boot/Rehearsal.java
+++ b/src/main/java/gatelock/boot/Rehearsal.java
@@ -30,10 +30,10 @@
  */
 final class Rehearsal {
     private static final System.Logger LOG = System.getLogger("gatelock.boot");
-    private static final long LONGEST_US = 1_000_000;
+    private static final long LONGEST_US = 350_000;
     private static final long ONE_US = 500_000;
     private static final int REQS = 4_000;
-    private static final int AT_ONCE = 24;
+    private static final int AT_ONCE = 8;
     private static final int UNITS = 20;
     private static final byte[] ANSWER = new byte[200];
 
