--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,13 @@
-.PHONY: build test lint run
+.PHONY: build demo test lint run toys
 
 build:
 	mvn -B -q -DskipTests package
 
+# Stand-ins, a relay and a control service that sends good and bad versions; shows what happens.
+demo:
+	mvn -B -q -DskipTests package
+	java -cp "target/test-classes:target/lib/*" gatelock.standin.Demo
+
 test:
 	mvn -B verify
 
--- a/src/main/java/gatelock/boot/Chain.java
+++ b/src/main/java/gatelock/boot/Chain.java
@@ -4,6 +4,7 @@
 import gatelock.kept.Addresses;
 import gatelock.kept.Counters;
 import gatelock.kept.OpenReqs;
+import gatelock.plan.Admission;
 import gatelock.relay.Gate;
 import gatelock.wire.Admit;
 import gatelock.wire.Book;
@@ -32,11 +33,14 @@
     private final Turn turn;
     private final Configuration told;
     private final Counters counters;
+    private final Admission admission;
     private Desk desk;
     private Discovery discovery;
 
-    Chain(Configuration told, Turn turn, Counters counters, Front front) {
+    /** @param admission what the plan in force means; null: there never is one */
+    Chain(Configuration told, Turn turn, Counters counters, Front front, Admission admission) {
         this.told = told;
+        this.admission = admission;
         this.turn = turn;
         this.counters = counters;
         open = new OpenReqs(counters);
@@ -50,7 +54,8 @@
         orders.bind(gate, routeOut, relayBack, book);
         takeIn = new TakeIn(counters, new TakeIn.Names(told.numbered("lanes"), told.numbered("orgs"),
             told.charter().routes(), told.deadlinesUs()), turn,
-            new Admit(turn, open, counters, book, gate), front);
+            new Admit(turn, open, counters, book, relayBack, gate, admission,
+                told.charter().pausesHeard() ? told.charter().longestPauseUs() : 0), front, admission);
     }
 
     /** Begins from what the configuration holds, and follows discovery and the desk from there. */
@@ -62,7 +67,7 @@
             new SplittableRandom(told.charter().seed() + 1));
         orders.bind(desk, discovery);
         gate.start(turn.nowUs());
-        discovery.start(gate, told.known());
+        discovery.start(gate, admission, told.known());
         desk.start(gate, told.news());
     }
 
--- a/src/main/java/gatelock/boot/Configuration.java
+++ b/src/main/java/gatelock/boot/Configuration.java
@@ -1,6 +1,7 @@
 package gatelock.boot;
 
 import gatelock.bench.Terms;
+import gatelock.plan.Grounds;
 import gatelock.relay.Charter;
 import gatelock.wire.Json;
 
@@ -60,6 +61,12 @@
             Terms.us(settings, "limits.connIdleNs"), deadlinesUs, settings);
     }
 
+    /** What a version is checked against. */
+    Grounds grounds() {
+        return new Grounds(numbered("lanes"), charter.routes(), deadlinesUs, numbered("orgs"), plain("zones"),
+            plain("flavors"));
+    }
+
     /** The names under a list of objects, by place. */
     Map<String, Integer> numbered(String list) {
         Map<String, Integer> names = new LinkedHashMap<>();
--- a/src/main/java/gatelock/boot/Main.java
+++ b/src/main/java/gatelock/boot/Main.java
@@ -3,14 +3,11 @@
 import gatelock.bench.Wirehost;
 
 import java.io.IOException;
+import java.io.PrintWriter;
 import java.nio.file.Path;
 import java.util.logging.LogManager;
 
-/**
- * The command line: {@code serve} runs one relay ({@code serve cold} without its rehearsal), {@code rehearse} the
- * rehearsal alone, for the build to learn which classes a relay needs, {@code wirehost} the decisions on the
- * simulator's wire.
- */
+/** Where the program begins. */
 public final class Main {
 
     /** Keeps log lines going while the program takes leave: the usual one falls silent on SIGTERM at once. */
@@ -24,35 +21,46 @@
     private Main() {
     }
 
+    /**
+     * The words with which the platform starts a relay go past the command line's library, which costs a start at half a
+     * core more than a tenth of a second.
+     */
     public static void main(String[] args) throws IOException {
         System.setProperty("java.util.logging.manager", StayingLog.class.getName());
+        // Else the libraries would start the logging library at every start, whether it is asked for or not.
+        System.setProperty("org.jboss.logging.provider", "jdk");
         switch (String.join(" ", args)) {
-            case "serve" -> serve(Service.Start.REHEARSED);
-            case "serve cold" -> serve(Service.Start.COLD);
-            case "rehearse" -> serve(Service.Start.REHEARSAL_ONLY);
+            case "serve" -> end(serve(Service.Start.REHEARSED, null) ? -1 : Commands.UNUSABLE);
+            case "serve cold" -> end(serve(Service.Start.COLD, null) ? -1 : Commands.UNUSABLE);
+            case "rehearse" -> end(serve(Service.Start.REHEARSAL_ONLY, null) ? -1 : Commands.UNUSABLE);
             case "wirehost" -> Wirehost.main(args);
-            default -> give("expected serve, serve cold, rehearse or wirehost");
+            default -> end(Commands.run(new PrintWriter(System.out, true), new PrintWriter(System.err, true), args));
         }
     }
 
-    private static void serve(Service.Start how) {
+    /** Starts a relay; tells whether it runs, or why not. */
+    static boolean serve(Service.Start how, Path operatorsFile) {
         String file = System.getenv("PROXY_CONFIG");
         if (file == null) {
-            give("PROXY_CONFIG names no configuration");
-            return;
+            System.err.println("gatelock: PROXY_CONFIG names no configuration");
+            return false;
         }
         // Until there is something to read anew for, a SIGHUP does nothing.
         Hangup.means(() -> { });
         Path path = Path.of(file);
         try {
-            Service.start(path, Configuration.read(path), how);
+            Operator operator = operatorsFile == null ? null : Operator.read(operatorsFile);
+            Service.start(path, Configuration.read(path), operatorsFile, operator, how);
+            return true;
         } catch (IOException e) {
-            give(e.getMessage());
+            System.err.println("gatelock: " + e.getMessage());
+            return false;
         }
     }
 
-    private static void give(String why) {
-        System.err.println("gatelock: " + why);
-        System.exit(2);
+    private static void end(int code) {
+        if (code >= 0) {
+            System.exit(code);
+        }
     }
 }
--- a/src/main/java/gatelock/boot/Service.java
+++ b/src/main/java/gatelock/boot/Service.java
@@ -35,25 +35,35 @@
     private final Start how;
     private final Turn turn;
     private final Counters counters = new Counters();
+    private final Path operatorsFile;
+    private final Operator operator;
     private Configuration told;
     private Front front;
     private Chain chain;
+    private Steering steering;
 
     /** With a rehearsal, without, or nothing but one on a free port. */
     enum Start { REHEARSED, COLD, REHEARSAL_ONLY }
 
-    private Service(Path file, Configuration told, Start how, Turn turn) {
+    private Service(Path file, Configuration told, Path operatorsFile, Operator operator, Start how, Turn turn) {
         this.file = file;
+        this.operatorsFile = operatorsFile;
+        this.operator = operator;
         this.told = told;
         this.how = how;
         this.turn = turn;
     }
 
-    static void start(Path file, Configuration told, Start how) throws IOException {
+    /** @param operator what the operator's own file says, or null: all that it could name is off */
+    static void start(Path file, Configuration told, Path operatorsFile, Operator operator, Start how)
+            throws IOException {
+        if (operator != null && (operator.jsonLog() || operator.logLevel() != null)) {
+            LogOut.through(operator.jsonLog(), operator.logLevel());
+        }
         XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1)
             .set(Options.WORKER_TASK_CORE_THREADS, 1).set(Options.WORKER_TASK_MAX_THREADS, 1)
             .set(Options.STACK_SIZE, STACK_BYTES).set(Options.WORKER_NAME, "gatelock").getMap());
-        Service service = new Service(file, told, how, new Turn(worker.getIoThread()));
+        Service service = new Service(file, told, operatorsFile, operator, how, new Turn(worker.getIoThread()));
         CountDownLatch left = new CountDownLatch(1);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             service.turn.soon(() -> service.leave(left::countDown));
@@ -70,6 +80,9 @@
     }
 
     private void leave(Runnable then) {
+        if (steering != null) {
+            steering.stop();
+        }
         long longestUs = told.deadlinesUs().stream().mapToLong(Long::longValue).max().orElse(0);
         front.leave(Math.min(longestUs, LONGEST_COUNTED_US) + ON_TOP_US, then);
     }
@@ -77,19 +90,23 @@
     private void readAnew() {
         try {
             Configuration now = Configuration.read(file);
-            turn.soon(() -> move(now));
+            Operator operatorNow = operator == null ? null : Operator.read(operatorsFile);
+            turn.soon(() -> move(now, operatorNow));
         } catch (IOException e) {
             LOG.log(Level.WARNING, "SIGHUP, what was in force stays: " + e.getMessage());
         }
     }
 
-    private void move(Configuration now) {
+    private void move(Configuration now, Operator operatorNow) {
         LOG.log(Level.INFO, "SIGHUP, discovery at " + now.discovery() + ", release desk at " + now.desk()
             + (told.sameTerms(now) ? "" : "; name, listen, limits and settings stay until a restart"));
         told = told.movedTo(now);
         if (chain != null) {
             chain.move(told);
         }
+        if (steering != null && operatorNow != null) {
+            steering.move(operatorNow);
+        }
     }
 
     private void run() {
@@ -117,9 +134,15 @@
 
     private void serve(UnaryOperator<HttpHandler> before) {
         try {
-            chain = new Chain(told, turn, counters, front);
+            steering = operator == null || operator.control() == null ? null
+                : new Steering(operator, told, turn, counters);
+            chain = new Chain(told, turn, counters, front, steering == null ? null : steering.admission);
             chain.start();
-            front.admit(before.apply(chain.takeIn), true);
+            HttpHandler takeIn = before.apply(chain.takeIn);
+            front.admit(takeIn, steering == null);
+            if (steering != null) {
+                steering.start(() -> front.admit(takeIn, true));
+            }
             LOG.log(Level.INFO, told.name() + " serves on " + told.listen());
             turn.in(COUNTERS_EVERY_US, this::tellCounters);
         } catch (IOException e) {
--- /dev/null
+++ b/src/main/java/gatelock/boot/Steering.java
@@ -0,0 +1,106 @@
+package gatelock.boot;
+
+import gatelock.control.Keep;
+import gatelock.control.Steward;
+import gatelock.control.Subscription;
+import gatelock.control.Window;
+import gatelock.kept.Counters;
+import gatelock.plan.Admission;
+import gatelock.plan.Backoff;
+import gatelock.plan.Compiler;
+import gatelock.plan.Succession;
+import gatelock.wire.Lines;
+import gatelock.wire.Turn;
+
+import java.io.IOException;
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.function.BooleanSupplier;
+
+/** Versioned configuration put together as the operator's file asks for it: stream, versions on disk, listener. */
+final class Steering {
+    private static final System.Logger LOG = System.getLogger("gatelock.boot");
+    /** A relay that has no version yet waits so long for its first one before it says that it is ready. */
+    private static final long FIRST_WITHIN_US = 2_000_000;
+    private static final long FIRST_WAIT_US = 200_000;
+    private static final long LOOK_US = 20_000;
+    private static final long OPEN_US = 1_000_000;
+    private static final long IDLE_US = 30_000_000;
+
+    final Admission admission;
+    private final Operator.Control control;
+    private final InetSocketAddress listener;
+    private final Turn turn;
+    private final Steward steward;
+    private final Keep keep;
+    private final Subscription subscription;
+    private final Window window;
+
+    Steering(Operator operator, Configuration told, Turn turn, Counters counters) {
+        this.turn = turn;
+        this.control = operator.control();
+        this.listener = operator.listener();
+        admission = new Admission(control.mostDropped());
+        keep = control.directory() == null ? null : new Keep(control.directory(), control.mostBytes());
+        steward = new Steward(turn, counters, new Succession(control.history()), admission,
+            new Compiler(told.grounds()), keep);
+        Lines lines = new Lines(turn, counters, OPEN_US, IDLE_US, 0, 2, control.mostBytes());
+        subscription = new Subscription(turn, counters, lines, steward, new Backoff(FIRST_WAIT_US, control.mostWaitUs(),
+            new SplittableRandom(told.charter().seed() + 2)), told.name(), control.services(), control.holdMs());
+        window = new Window(turn, counters, steward, () -> subscription);
+    }
+
+    /** Begins with what is on disk, then asks the control service; {@code ready} once there is a version, or none came. */
+    void start(Runnable ready) throws IOException {
+        if (listener != null) {
+            LOG.log(Level.INFO, "operator's listener on " + window.listen(listener));
+        }
+        if (keep == null) {
+            follow(ready);
+        } else {
+            turn.aside(keep::read, found -> {
+                recover(found);
+                follow(ready);
+            });
+        }
+    }
+
+    private void recover(List<Keep.Kept> found) {
+        for (Keep.Kept kept : found) {
+            if (steward.recovered(kept)) {
+                return;
+            }
+        }
+    }
+
+    private void follow(Runnable ready) {
+        subscription.start();
+        long byUs = turn.nowUs() + FIRST_WITHIN_US;
+        await(() -> admission.plan() != null || turn.nowUs() >= byUs, ready);
+    }
+
+    private void await(BooleanSupplier what, Runnable then) {
+        if (what.getAsBoolean()) {
+            if (admission.plan() == null) {
+                LOG.log(Level.WARNING, "no version came in time: reqs go by their class, without limits, until one does");
+            }
+            then.run();
+        } else {
+            turn.in(LOOK_US, () -> await(what, then));
+        }
+    }
+
+    /** Follows the control services that the operator's file names now. */
+    void move(Operator to) {
+        if (to.control() != null) {
+            subscription.move(to.control().services());
+        }
+    }
+
+    void stop() {
+        subscription.stop();
+        window.close();
+    }
+}
--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -207,9 +207,10 @@
     }
 
     @Override
-    public Handle take(long nowUs, String id, int route, int tenant, long key, long leftUs, long costUs) {
+    public Handle take(long nowUs, String id, int route, int tenant, long key, long leftUs, long costUs,
+                       Bounds bounds) {
         clock(nowUs);
-        Rq rq = new Rq(id, route, tenant, key, nowUs + leftUs, costUs);
+        Rq rq = new Rq(id, route, tenant, key, nowUs + leftUs, costUs, bounds);
         builds.values().forEach(b -> b.earn(route));
         retryTokens = Math.min(RETRY_BURST, retryTokens + RETRY_SHARE);
         if (tenant < tenantRate.length) {
@@ -351,13 +352,16 @@
         private final long endUs;
         private final long costUs;
         private final boolean hinted;
+        /** What was set for it beyond the charter; asked only for less than would be done without. */
+        private final Bounds bounds;
         private final long token = nextToken++;
         private final List<Try> tries = new ArrayList<>(2);
         private boolean over;
         private int outNow;
 
-        Rq(String id, int routeNo, int tenant, long key, long endUs, long hintUs) {
+        Rq(String id, int routeNo, int tenant, long key, long endUs, long hintUs, Bounds bounds) {
             this.id = id;
+            this.bounds = bounds;
             this.routeNo = routeNo;
             this.route = charter.routes().get(routeNo);
             this.tenant = tenant;
@@ -392,7 +396,7 @@
             inFlight++;
             routeInFlight[routeNo]++;
             unit.sent(t);
-            out.send(id, unit.at.unit(), 0);
+            out.send(id, unit.at.unit(), bounds.tryUs());
         }
 
         private Unit choose(boolean trial) {
@@ -425,9 +429,11 @@
         /** A try has failed: one more, within the budget, or the final answer at once. */
         private void again() {
             boolean may = nowUs < endUs && (neverRan() || route.repeat() != Route.Repeat.NON_RETRIABLE);
-            boolean refused = tries.get(tries.size() - 1).ending == Ending.NOT_CONNECTED;
+            Ending last = tries.get(tries.size() - 1).ending;
+            boolean refused = last == Ending.NOT_CONNECTED;
             double price = refused && connectionsAreFew() ? RECONNECT : 1;
-            if (may && retryTokens >= price && tries.size() < charter.tryLimit()) {
+            if (may && retryTokens >= price && tries.size() < Math.min(charter.tryLimit(), bounds.mostTries())
+                    && bounds.goesOn(nowUs, last)) {
                 retryTokens -= price;
                 place();
             } else {
@@ -577,7 +583,7 @@
                 Unit u = ready.get(i);
                 boolean tryBad = rq.route.repeat() == Route.Repeat.RETRIABLE && rq.tries.isEmpty()
                     && chance.nextDouble() < TRY_BAD;
-                if (u.hasRoom(rq, claim) && rq.mayRepeatAt(u) && rq.tries.stream().noneMatch(t -> t.unit == u)
+                if (rq.bounds.reaches(u.at.unit()) && u.hasRoom(rq, claim) && rq.mayRepeatAt(u) && rq.tries.stream().noneMatch(t -> t.unit == u)
                         && (!someBad || tryBad || !u.looksBad())) {
                     boolean open = few && u.connected();
                     boolean better = best == null || (few && open != best.connected() ? open
--- /dev/null
+++ b/src/main/java/gatelock/kept/Named.java
@@ -0,0 +1,17 @@
+package gatelock.kept;
+
+/**
+ * A value in a log line that bears a name, so that a structured log has it as a field. Goes among the parameters of a
+ * System.Logger call; a plain log shows the value.
+ */
+public record Named(String name, Object value) {
+
+    public static Named of(String name, Object value) {
+        return new Named(name, value);
+    }
+
+    @Override
+    public String toString() {
+        return String.valueOf(value);
+    }
+}
--- a/src/main/java/gatelock/kept/OpenReq.java
+++ b/src/main/java/gatelock/kept/OpenReq.java
@@ -15,6 +15,7 @@
     private final List<Runnable> calledOff = new ArrayList<>(2);
     private Handle handle;
     private boolean over;
+    private Runnable whenOver;
 
     /**
      * @param head first line and headers as a unit gets them, all but those that change with each try
@@ -63,6 +64,20 @@
 
     public void close() {
         over = true;
+        if (whenOver != null) {
+            whenOver.run();
+            whenOver = null;
+        }
+    }
+
+    /** What is to be done once it has its answer or its caller left. */
+    public void whenOver(Runnable what) {
+        whenOver = what;
+    }
+
+    /** Whether the decisions have it: a req that waits for its limits is not theirs yet. */
+    public boolean taken() {
+        return handle != null;
     }
 
     /** Numbers a new try from 0 in the order sent; {@code callOff} gives it up. */
--- /dev/null
+++ b/src/main/java/gatelock/plan/Asked.java
@@ -0,0 +1,13 @@
+package gatelock.plan;
+
+import java.util.function.UnaryOperator;
+
+/**
+ * What a req's entry depends on.
+ *
+ * @param host without a port, or null
+ * @param path as it came, without the query
+ * @param headers the first value of a header by its name in any case, or null
+ */
+public record Asked(String method, String host, String path, UnaryOperator<String> headers) {
+}
--- /dev/null
+++ b/src/main/java/gatelock/plan/Compiler.java
@@ -0,0 +1,141 @@
+package gatelock.plan;
+
+import gatelock.relay.Ending;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/** Makes a {@link Plan} of a text, or says all that is wrong with it. May run on any thread; keeps nothing. */
+public final class Compiler {
+    /** Of more findings the first are told, and how many there are. */
+    private static final int MOST_FINDINGS = 200;
+
+    private final Grounds grounds;
+
+    public Compiler(Grounds grounds) {
+        this.grounds = grounds;
+    }
+
+    /** @param plan null where a finding is grave */
+    public record Compiled(Plan plan, List<Finding> findings) {
+        public boolean good() {
+            return plan != null;
+        }
+    }
+
+    /** Reads, checks and compiles a text that claims to be that version. */
+    public Compiled compile(Stamp.Epoch epoch, long number, byte[] text) {
+        List<Finding> findings = new ArrayList<>();
+        Draft draft = Draft.read(text, findings);
+        if (draft != null) {
+            Form.PLAN.check(draft, findings);
+        }
+        Plan plan = null;
+        if (draft != null && findings.stream().noneMatch(Finding::grave)) {
+            Sheet sheet = new Sheet(draft, grounds);
+            Checks.check(sheet, grounds, findings);
+            if (findings.stream().noneMatch(Finding::grave)) {
+                plan = plan(new Stamp(epoch, number, Stamp.hash(text)), sheet);
+            }
+        }
+        return new Compiled(plan, fewer(findings));
+    }
+
+    private static List<Finding> fewer(List<Finding> findings) {
+        if (findings.size() <= MOST_FINDINGS) {
+            return List.copyOf(findings);
+        }
+        List<Finding> first = new ArrayList<>(findings.subList(0, MOST_FINDINGS));
+        first.add(new Finding("G-MORE", false, "", 0, 0, findings.size() - MOST_FINDINGS + " more findings are not told",
+            "mend these first"));
+        return first;
+    }
+
+    private Plan plan(Stamp stamp, Sheet sheet) {
+        JsonNode root = sheet.root();
+        Map<String, Limit> limits = new LinkedHashMap<>();
+        root.path("limits").fields().forEachRemaining(e -> limits.put(e.getKey(), limit(e.getKey(), e.getValue())));
+        Map<String, Retries> retries = new LinkedHashMap<>();
+        root.path("retries").fields().forEachRemaining(e -> retries.put(e.getKey(), retries(e.getKey(), e.getValue())));
+        Map<String, Pool> pools = new LinkedHashMap<>();
+        Map<String, Retries> poolRetries = new HashMap<>();
+        root.path("pools").fields().forEachRemaining(e -> {
+            pools.put(e.getKey(), pool(e.getKey(), e.getValue()));
+            if (e.getValue().has("retries")) {
+                poolRetries.put(e.getKey(), retries.get(e.getValue().get("retries").asText()));
+            }
+        });
+        List<Entry> entries = new ArrayList<>();
+        for (Sheet.Line line : sheet.lines()) {
+            if (!line.isAbstract()) {
+                List<Limit> its = line.limits().stream().map(limits::get).toList();
+                entries.add(new Entry(line.name(), entries.size(), line.match(), grounds.classes().get(line.className()),
+                    line.pool(), its, line.retries() == null ? null : retries.get(line.retries())));
+            }
+        }
+        String byDefault = sheet.byDefault("retries");
+        Set<String> removes = new HashSet<>();
+        root.path("removes").forEach(n -> removes.add(n.asText()));
+        return new Plan(stamp, root.path("by").asText(""), root.path("note").asText(""),
+            root.path("unmatched").asText("").equals("refuse"), entries, pools, poolRetries,
+            byDefault == null ? Retries.FREE : retries.get(byDefault), limits, removes);
+    }
+
+    private static Limit limit(String name, JsonNode node) {
+        double perS = node.path("ratePerS").asDouble(Double.POSITIVE_INFINITY);
+        JsonNode queue = node.path("queue");
+        return new Limit(name, Limit.Per.valueOf(node.path("per").asText("all").toUpperCase(Locale.ROOT)
+            .replace('-', '_')), perS / 1e6, node.path("burst").asDouble(Math.max(1, perS)),
+            node.path("inFlight").asInt(Integer.MAX_VALUE), queue.path("length").asInt(0),
+            (long) (queue.path("waitMs").asDouble(0) * 1000));
+    }
+
+    /** The endings that a version names. */
+    private static Ending ending(String word) {
+        return switch (word) {
+            case "turned-away" -> Ending.TURNED_AWAY;
+            case "not-connected" -> Ending.NOT_CONNECTED;
+            case "errored" -> Ending.ERRORED;
+            case "timed-out" -> Ending.TIMED_OUT;
+            case "broken-off" -> Ending.BROKEN_OFF;
+            case "cancelled" -> Ending.CANCELLED;
+            default -> throw new IllegalArgumentException("the schema knows no ending " + word);
+        };
+    }
+
+    static Retries retries(String name, JsonNode node) {
+        Set<Ending> after = EnumSet.of(Ending.NOT_SENT);
+        if (node.has("after")) {
+            node.get("after").forEach(w -> after.add(ending(w.asText())));
+        } else {
+            after.add(Ending.TURNED_AWAY);
+            after.add(Ending.NOT_CONNECTED);
+        }
+        return new Retries(name, node.get("tries").asInt(), after, (long) (node.path("tryMs").asDouble(0) * 1000),
+            node.path("budget").asDouble(1));
+    }
+
+    private Pool pool(String name, JsonNode node) {
+        Map<String, String> labels = new TreeMap<>();
+        node.path("labels").fields().forEachRemaining(e -> labels.put(e.getKey(), e.getValue().asText()));
+        return new Pool(name, places(node.path("zones"), grounds.zones()), places(node.path("kinds"), grounds.kinds()),
+            labels, node.path("fallback").asText(null), node.path("leastShare").asDouble(0));
+    }
+
+    /** What a list names, by place; a name that the deployment has not is of no unit. */
+    private static Set<Integer> places(JsonNode names, List<String> known) {
+        Set<Integer> places = new HashSet<>();
+        names.forEach(n -> places.add(known.indexOf(n.asText())));
+        return places;
+    }
+}
--- /dev/null
+++ b/src/main/java/gatelock/plan/Diff.java
@@ -0,0 +1,168 @@
+package gatelock.plan;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.TreeSet;
+
+/**
+ * Two plans compared by what they mean for reqs, not by their text: where the meaning is the same there is nothing
+ * to say, however the text was moved about.
+ */
+public final class Diff {
+    private static final int MOST = 1_000;
+    private static final int MOST_ALONG = 50;
+
+    private final Plan before;
+    private final Plan after;
+    private final Grounds grounds;
+    private final List<String> lines = new ArrayList<>();
+
+    private Diff(Plan before, Plan after, Grounds grounds) {
+        this.before = before;
+        this.after = after;
+        this.grounds = grounds;
+    }
+
+    /** A line for each thing that changes for some reqs; none where the two mean the same. */
+    public static List<String> of(Plan before, Plan after, Grounds grounds) {
+        Diff diff = new Diff(before, after, grounds);
+        diff.unmatched();
+        diff.routes();
+        diff.order();
+        diff.pools();
+        return diff.lines.size() <= MOST ? diff.lines : diff.lines.subList(0, MOST);
+    }
+
+    private void unmatched() {
+        if (before.refusesUnmatched() != after.refusesUnmatched()) {
+            lines.add("reqs that no route is for: " + (after.refusesUnmatched() ? "answered 404, went by their class before"
+                : "go by their class, were answered 404 before"));
+        }
+    }
+
+    private void routes() {
+        TreeSet<String> names = new TreeSet<>(before.entries().keySet());
+        names.addAll(after.entries().keySet());
+        for (String name : names) {
+            Entry was = before.entries().get(name);
+            Entry is = after.entries().get(name);
+            if (was == null) {
+                lines.add("route " + name + " is new: " + words(is.match()) + " to class " + className(is.classNo()) + ", pool "
+                    + pool(is) + landsNow(is, before));
+            } else if (is == null) {
+                lines.add("route " + name + " is gone: " + words(was.match()) + landsNow(was, after));
+            } else {
+                changed(name, was, is);
+            }
+        }
+    }
+
+    /** Where the reqs that an entry is for go in the other version, as far as one req tells. */
+    private static String landsNow(Entry e, Plan other) {
+        Entry there = other.entry(example(e.match()));
+        return there == null ? "" : "; in the other version they meet " + there.name();
+    }
+
+    private static Asked example(Match m) {
+        String host = m.host().equals("*") ? null : m.host().startsWith("*.") ? "x" + m.host().substring(1) : m.host();
+        return new Asked(m.methods().isEmpty() ? "GET" : m.methods().iterator().next(), host,
+            "/" + String.join("/", m.segments()), n -> "*".equals(m.headers().get(n)) ? "x" : m.headers().get(n));
+    }
+
+    private void changed(String name, Entry was, Entry is) {
+        say(name, "is for", words(was.match()), words(is.match()));
+        say(name, "class", className(was.classNo()), className(is.classNo()));
+        say(name, "pool", pool(was), pool(is));
+        say(name, "limits", was.limits().stream().map(Explain::words).toList(),
+            is.limits().stream().map(Explain::words).toList());
+        say(name, "tries", Explain.words(before.retries(was, was.pool())), Explain.words(after.retries(is, is.pool())));
+    }
+
+    private void say(String route, String what, Object was, Object is) {
+        if (!Objects.equals(was, is)) {
+            lines.add("route " + route + ": " + what + " " + is + ", was " + was);
+        }
+    }
+
+    /** Entries that stay but change places, told by one req for which both of a pair are. */
+    private void order() {
+        TreeSet<String> said = new TreeSet<>();
+        for (Entry is : after.entries().values()) {
+            Entry was = before.entries().get(is.name());
+            if (was == null || !was.match().equals(is.match())) {
+                continue;
+            }
+            for (Entry other : after.along(is.match().segments(), MOST_ALONG)) {
+                Asked both = example(is.match(), other.match());
+                Entry meets = both == null ? null : after.entry(both);
+                Entry met = both == null ? null : before.entry(both);
+                if (meets != null && met != null && !meets.name().equals(met.name()) && same(meets) && same(met)) {
+                    said.add("reqs for both " + is.name() + " and " + other.name() + " meet route " + meets.name() + ", met "
+                        + met.name());
+                }
+            }
+        }
+        lines.addAll(said);
+    }
+
+    /** Whether an entry is for the same reqs in both versions. */
+    private boolean same(Entry e) {
+        Entry was = before.entries().get(e.name());
+        Entry is = after.entries().get(e.name());
+        return was != null && is != null && was.match().equals(is.match());
+    }
+
+    /** A req for which both are, or null where there is none; the second one's path leads to the first one's. */
+    private static Asked example(Match one, Match other) {
+        TreeSet<String> methods = new TreeSet<>(one.methods().isEmpty() ? other.methods() : one.methods());
+        if (!one.methods().isEmpty() && !other.methods().isEmpty()) {
+            methods.retainAll(other.methods());
+        }
+        Map<String, String> headers = new java.util.TreeMap<>(other.headers());
+        headers.putAll(one.headers());
+        Match narrow = one.host().equals("*") || other.host().length() > one.host().length() && !other.host().equals("*")
+            ? other : one;
+        Match both = new Match(narrow.host(), one.segments(), methods, headers);
+        Asked asked = example(both);
+        return one.fitsBeside(asked) && other.fitsBeside(asked) ? asked : null;
+    }
+
+    private void pools() {
+        TreeSet<String> names = new TreeSet<>(before.pools().keySet());
+        names.retainAll(after.pools().keySet());
+        for (String name : names) {
+            Pool was = before.pools().get(name);
+            Pool is = after.pools().get(name);
+            if (!was.equals(is)) {
+                lines.add("pool " + name + ": " + words(is) + ", was " + words(was));
+            }
+        }
+    }
+
+    private String className(int classNo) {
+        return grounds.classes().entrySet().stream().filter(e -> e.getValue() == classNo).map(Map.Entry::getKey)
+            .findFirst().orElse("?");
+    }
+
+    private static String pool(Entry e) {
+        return e.pool() == null ? "all units" : e.pool();
+    }
+
+    private static String words(Match m) {
+        return (m.methods().isEmpty() ? "any method" : String.join("|", new TreeSet<>(m.methods()))) + " " + m.host() + " /"
+            + String.join("/", m.segments()) + (m.headers().isEmpty() ? "" : " " + m.headers());
+    }
+
+    private String words(Pool p) {
+        return "zones " + names(p.zones(), grounds.zones()) + ", kinds " + names(p.kinds(), grounds.kinds()) + ", labels "
+            + (p.labels().isEmpty() ? "any" : p.labels()) + (p.fallback() == null ? "" : ", fallback " + p.fallback()
+            + " under " + p.leastShare());
+    }
+
+    private static String names(java.util.Set<Integer> places, List<String> names) {
+        return places.isEmpty() ? "any" : new TreeSet<>(places).stream().filter(i -> i >= 0).map(names::get).toList()
+            .toString();
+    }
+}
--- /dev/null
+++ b/src/main/java/gatelock/plan/Entry.java
@@ -0,0 +1,14 @@
+package gatelock.plan;
+
+import java.util.List;
+
+/**
+ * One entry of the table, with all that it says, inherits or gets by default.
+ *
+ * @param place in the version's list of routes
+ * @param classNo of the class whose terms hold
+ * @param pool null: all units
+ * @param retries that the entry itself leads to; null where its pool's or the default's hold
+ */
+record Entry(String name, int place, Match match, int classNo, String pool, List<Limit> limits, Retries retries) {
+}
--- /dev/null
+++ b/src/main/java/gatelock/plan/Grounds.java
@@ -0,0 +1,18 @@
+package gatelock.plan;
+
+import gatelock.relay.Route;
+
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What a deployment says of itself, against which a version is checked.
+ *
+ * @param classes place by name
+ * @param terms of each class, by place
+ * @param deadlinesUs of each class, by place; 0: none is stated
+ * @param tenants place by name
+ */
+public record Grounds(Map<String, Integer> classes, List<Route> terms, List<Long> deadlinesUs,
+                      Map<String, Integer> tenants, List<String> zones, List<String> kinds) {
+}
--- /dev/null
+++ b/src/main/java/gatelock/plan/Limit.java
@@ -0,0 +1,26 @@
+package gatelock.plan;
+
+/**
+ * A bound on reqs.
+ *
+ * @param perUs reqs a microsecond, or infinite
+ * @param burst reqs that may come at once
+ * @param inFlight reqs not answered yet at a time
+ * @param queueLength reqs that may wait; 0: none
+ * @param waitUs how long one may wait
+ */
+record Limit(String name, Per per, double perUs, double burst, int inFlight, int queueLength, long waitUs) {
+
+    /** What has a count of its own. */
+    enum Per {
+        ALL, ROUTE, TENANT, ROUTE_AND_TENANT;
+
+        boolean byRoute() {
+            return this == ROUTE || this == ROUTE_AND_TENANT;
+        }
+
+        boolean byTenant() {
+            return this == TENANT || this == ROUTE_AND_TENANT;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gatelock/plan/Plan.java
@@ -0,0 +1,109 @@
+package gatelock.plan;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** A version made ready for use. It never changes; a req ends under the one that took it. */
+public final class Plan {
+    private final Stamp stamp;
+    private final String by;
+    private final String note;
+    private final boolean refusesUnmatched;
+    private final Map<String, Entry> entries = new LinkedHashMap<>();
+    private final Map<String, Pool> pools;
+    private final Map<String, Retries> poolRetries;
+    private final Retries defaultRetries;
+    private final Map<String, Limit> limits;
+    private final Collection<String> removes;
+    private final List<Entry> byPlace;
+    private final Table<Entry> table;
+
+    Plan(Stamp stamp, String by, String note, boolean refusesUnmatched, List<Entry> routes, Map<String, Pool> pools,
+         Map<String, Retries> poolRetries, Retries defaultRetries, Map<String, Limit> limits,
+         Collection<String> removes) {
+        this.stamp = stamp;
+        this.by = by;
+        this.note = note;
+        this.refusesUnmatched = refusesUnmatched;
+        this.pools = pools;
+        this.poolRetries = poolRetries;
+        this.defaultRetries = defaultRetries;
+        this.limits = limits;
+        this.removes = removes;
+        this.byPlace = List.copyOf(routes);
+        List<Match> matches = new ArrayList<>(routes.size());
+        for (Entry e : routes) {
+            entries.put(e.name(), e);
+            matches.add(e.match());
+        }
+        table = new Table<>(matches, routes);
+    }
+
+    public Stamp stamp() {
+        return stamp;
+    }
+
+    public String by() {
+        return by;
+    }
+
+    public String note() {
+        return note;
+    }
+
+    public int routes() {
+        return entries.size();
+    }
+
+    boolean refusesUnmatched() {
+        return refusesUnmatched;
+    }
+
+    /** The entry that a req meets, or null. */
+    Entry entry(Asked asked) {
+        return table.first(asked);
+    }
+
+    /** Entries whose path is the start of this one, some of them where there are very many. */
+    List<Entry> along(List<String> path, int most) {
+        List<Entry> found = new ArrayList<>();
+        table.firstAlong(path, (place, match) -> {
+            found.add(byPlace.get(place));
+            return found.size() >= most;
+        });
+        return found;
+    }
+
+    Map<String, Entry> entries() {
+        return entries;
+    }
+
+    Map<String, Pool> pools() {
+        return pools;
+    }
+
+    Map<String, Limit> limits() {
+        return limits;
+    }
+
+    Collection<String> removes() {
+        return removes;
+    }
+
+    /** What further tries a req of an entry may have while that pool serves it: the entry's, its pool's, the default. */
+    Retries retries(Entry entry, String pool) {
+        return entry.retries() != null ? entry.retries() : poolRetries.getOrDefault(pool, defaultRetries);
+    }
+
+    /** A pool and all that may serve in its place, in order. */
+    List<String> chain(String pool) {
+        List<String> chain = new ArrayList<>();
+        for (String at = pool; at != null && pools.containsKey(at) && !chain.contains(at); at = pools.get(at).fallback()) {
+            chain.add(at);
+        }
+        return chain;
+    }
+}
--- /dev/null
+++ b/src/main/java/gatelock/plan/Pool.java
@@ -0,0 +1,22 @@
+package gatelock.plan;
+
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Units that serve together.
+ *
+ * @param zones by place; empty: any
+ * @param kinds by place; empty: any
+ * @param labels that a unit must bear, all of them
+ * @param fallback serves when too few of these do; null: none
+ * @param leastShare of the units that this pool lately had
+ */
+record Pool(String name, Set<Integer> zones, Set<Integer> kinds, Map<String, String> labels, String fallback,
+            double leastShare) {
+
+    boolean selects(int zone, int kind, Map<String, String> borne) {
+        return (zones.isEmpty() || zones.contains(zone)) && (kinds.isEmpty() || kinds.contains(kind))
+            && (labels.isEmpty() || borne.entrySet().containsAll(labels.entrySet()));
+    }
+}
--- /dev/null
+++ b/src/main/java/gatelock/plan/Retries.java
@@ -0,0 +1,24 @@
+package gatelock.plan;
+
+import gatelock.relay.Ending;
+
+import java.util.Set;
+
+/**
+ * What further tries a req may have.
+ *
+ * @param most tries, the first one included
+ * @param after endings after which one more may follow
+ * @param tryUs how long one try may take; 0: as long as the req
+ * @param budget further tries as a share of reqs
+ */
+record Retries(String name, int most, Set<Ending> after, long tryUs, double budget) {
+
+    /** Where a version names none: what the decisions do is not narrowed. */
+    static final Retries FREE = new Retries("", Integer.MAX_VALUE, Set.of(Ending.values()), 0, 1);
+
+    /** Whether it lets a req run that may have run before. */
+    boolean mayRunTwice() {
+        return most > 1 && after.stream().anyMatch(e -> !e.neverRan);
+    }
+}
--- /dev/null
+++ b/src/main/java/gatelock/plan/Waiting.java
@@ -0,0 +1,10 @@
+package gatelock.plan;
+
+/** Whoever brought a req, while its limits let it wait. */
+public interface Waiting {
+    /** It may go on now. */
+    void passes(long nowUs);
+
+    /** It has waited too long, or another tenant's has taken its place: best after {@code pauseUs}. */
+    void shed(long nowUs, long pauseUs);
+}
--- /dev/null
+++ b/src/main/java/gatelock/relay/Bounds.java
@@ -0,0 +1,43 @@
+package gatelock.relay;
+
+/**
+ * What was set for one req beyond the charter's terms. It only narrows: a gate that heeds it does nothing that it
+ * would not have been free to do without.
+ */
+public interface Bounds {
+
+    /** Nothing was set. */
+    Bounds NONE = new Bounds() {
+        @Override
+        public boolean reaches(String unit) {
+            return true;
+        }
+
+        @Override
+        public int mostTries() {
+            return Integer.MAX_VALUE;
+        }
+
+        @Override
+        public long tryUs() {
+            return 0;
+        }
+
+        @Override
+        public boolean goesOn(long nowUs, Ending last) {
+            return true;
+        }
+    };
+
+    /** Whether a try may go to this unit. */
+    boolean reaches(String unit);
+
+    /** How many tries there may be at the most, the first one included. */
+    int mostTries();
+
+    /** How long one try may take, in microseconds; 0: as long as the req. */
+    long tryUs();
+
+    /** Whether one more try may follow one that ended so; a yes is counted as that try. */
+    boolean goesOn(long nowUs, Ending last);
+}
--- a/src/main/java/gatelock/wire/Admit.java
+++ b/src/main/java/gatelock/wire/Admit.java
@@ -3,22 +3,43 @@
 import gatelock.kept.Counters;
 import gatelock.kept.OpenReq;
 import gatelock.kept.OpenReqs;
+import gatelock.plan.Admission;
+import gatelock.plan.Waiting;
+import gatelock.relay.Bounds;
 import gatelock.relay.Gate;
 
-/** Second stage: a req in good form is handed to the decisions, and is owed an answer from then on. */
+/**
+ * Second stage: a req in good form asks the plan's limits, where there is a plan, and is handed to the decisions. It is
+ * owed an answer from then on.
+ */
 public final class Admit {
+    /** While somebody waits, limits are looked at so often at the least. */
+    private static final long LOOK_US = 10_000;
+
     private final Turn turn;
     private final OpenReqs open;
     private final Counters counters;
     private final Book book;
+    private final RelayBack relayBack;
     private final Gate gate;
+    private final Admission admission;
+    private final long longestPauseUs;
+    private boolean looking;
 
-    public Admit(Turn turn, OpenReqs open, Counters counters, Book book, Gate gate) {
+    /**
+     * @param admission what the plan in force means; null: there never is one
+     * @param longestPauseUs that a client hears of when it is told to come back; 0: none does
+     */
+    public Admit(Turn turn, OpenReqs open, Counters counters, Book book, RelayBack relayBack, Gate gate,
+                 Admission admission, long longestPauseUs) {
         this.turn = turn;
         this.open = open;
         this.counters = counters;
         this.book = book;
+        this.relayBack = relayBack;
         this.gate = gate;
+        this.admission = admission;
+        this.longestPauseUs = longestPauseUs;
     }
 
     /** Whether a req of this id is still open, so that another can't be told from it. */
@@ -26,14 +47,88 @@
         return open.get(id) != null;
     }
 
-    void admit(OpenReq req, int route, int tenant, long key, long costUs) {
+    /** @param way where the plan leads it, or null: no plan, or none of its routes is for it */
+    void admit(OpenReq req, Admission.Way way, int route, int tenant, long key, long costUs) {
         counters.add("taken");
         open.add(req);
+        if (way == null) {
+            decide(req, route, tenant, key, costUs, Bounds.NONE);
+            return;
+        }
+        Passage passage = new Passage(req, route, tenant, key, costUs);
+        Admission.Pass pass = admission.ask(turn.nowUs(), way, tenant, req.endUs(), passage);
+        passage.pass = pass;
+        req.whenOver(() -> {
+            pass.over(turn.nowUs());
+            look();
+        });
+        if (pass.shed()) {
+            passage.shed(turn.nowUs(), pass.pauseUs());
+        } else if (pass.waits()) {
+            counters.add("waited for limits");
+            look();
+        } else {
+            decide(req, route, tenant, key, costUs, pass);
+        }
+    }
+
+    private void decide(OpenReq req, int route, int tenant, long key, long costUs, Bounds bounds) {
         long nowUs = turn.nowUs();
-        req.taken(gate.take(nowUs, req.id(), route, tenant, key, Math.max(1, req.endUs() - nowUs), costUs));
+        req.taken(gate.take(nowUs, req.id(), route, tenant, key, Math.max(1, req.endUs() - nowUs), costUs, bounds));
         book.settle(req);
     }
 
+    /** A req on its way past its limits. */
+    private final class Passage implements Waiting {
+        private final OpenReq req;
+        private final int route;
+        private final int tenant;
+        private final long key;
+        private final long costUs;
+        private Admission.Pass pass;
+
+        Passage(OpenReq req, int route, int tenant, long key, long costUs) {
+            this.req = req;
+            this.route = route;
+            this.tenant = tenant;
+            this.key = key;
+            this.costUs = costUs;
+        }
+
+        @Override
+        public void passes(long nowUs) {
+            // Its turn may come while the decisions are at work on another.
+            turn.soon(() -> {
+                if (!req.over()) {
+                    decide(req, route, tenant, key, costUs, pass);
+                }
+            });
+        }
+
+        @Override
+        public void shed(long nowUs, long pauseUs) {
+            counters.add("shed by limits");
+            turn.soon(() -> {
+                relayBack.shed(req, Math.min(pauseUs, longestPauseUs));
+                book.settle(req);
+            });
+        }
+    }
+
+    /** Looks at the limits again in time, as long as somebody waits. */
+    private void look() {
+        long nowUs = turn.nowUs();
+        long nextUs = looking ? Long.MAX_VALUE : admission.nextUs(nowUs);
+        if (nextUs < Long.MAX_VALUE) {
+            looking = true;
+            turn.in(Math.min(nextUs - nowUs, LOOK_US), () -> {
+                looking = false;
+                admission.due(turn.nowUs());
+                look();
+            });
+        }
+    }
+
     void left(OpenReq req) {
         book.left(req);
     }
--- a/src/main/java/gatelock/wire/AnswerReader.java
+++ b/src/main/java/gatelock/wire/AnswerReader.java
@@ -29,6 +29,7 @@
     private enum Part { STATUS, HEADERS, BODY, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILERS, WHOLE }
 
     private final Consumer<byte[]> parts;
+    private final int mostBody;
     private final ByteArrayOutputStream line = new ByteArrayOutputStream(128);
     private final ByteArrayOutputStream body = new ByteArrayOutputStream(512);
     private final List<String> headers = new ArrayList<>();
@@ -38,9 +39,13 @@
     private int headBytes;
     private long left;
 
-    /** @param parts takes the body piece by piece as it comes; null: the body is held whole */
-    AnswerReader(Consumer<byte[]> parts) {
+    /**
+     * @param parts takes the body piece by piece as it comes; null: the body is held whole
+     * @param mostBody that a body held whole may have
+     */
+    AnswerReader(Consumer<byte[]> parts, int mostBody) {
         this.parts = parts;
+        this.mostBody = mostBody;
     }
 
     boolean whole() {
@@ -83,7 +88,7 @@
         if (parts != null) {
             parts.accept(some);
         } else {
-            if (body.size() + some.length > MOST_BODY) {
+            if (body.size() + some.length > mostBody) {
                 throw new UnreadableAnswer("body too long");
             }
             body.writeBytes(some);
@@ -192,7 +197,7 @@
         boolean form = text.length() <= 12 && !text.isEmpty()
             && text.chars().allMatch(c -> c < 128 && Character.digit(c, radix) >= 0);
         long found = form ? Long.parseLong(text, radix) : -1;
-        if (found < 0 || parts == null && found > MOST_BODY) {
+        if (found < 0 || parts == null && found > mostBody) {
             throw new UnreadableAnswer("expected a length, found " + text);
         }
         return found;
--- a/src/main/java/gatelock/wire/Book.java
+++ b/src/main/java/gatelock/wire/Book.java
@@ -36,14 +36,16 @@
         if (!req.over()) {
             counters.add("callers left");
             open.close(req);
-            req.handle().concluded(turn.nowUs());
+            if (req.taken()) {
+                req.handle().concluded(turn.nowUs());
+            }
             settle(req);
         }
     }
 
     /** Forgets a req once it is answered and its last try has ended; an answer may still be on its way out. */
     void settle(OpenReq req) {
-        if (req.over() && req.handle().settled()) {
+        if (req.over() && (!req.taken() || req.handle().settled())) {
             open.forget(req);
         }
     }
--- a/src/main/java/gatelock/wire/Discovery.java
+++ b/src/main/java/gatelock/wire/Discovery.java
@@ -3,6 +3,7 @@
 import gatelock.kept.Addresses;
 import gatelock.kept.Counters;
 import gatelock.kept.UnitAnswer;
+import gatelock.plan.Admission;
 import gatelock.relay.Gate;
 import gatelock.relay.Listed;
 
@@ -13,6 +14,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.random.RandomGenerator;
@@ -25,6 +27,7 @@
     private static final long HOLD_MS = 2_000;
     private static final long GRACE_US = 1_000_000;
     private static final long RETRY_US = 100_000;
+    private static final int MOST_LABELS = 32;
     private static final Map<String, Listed.Health> HEALTH = Map.of("in_service", Listed.Health.READY,
         "terminating", Listed.Health.DRAINING, "terminated", Listed.Health.GONE);
 
@@ -39,6 +42,7 @@
     private final RandomGenerator chance;
     private InetSocketAddress address;
     private Gate gate;
+    private Admission admission;
     private Line line;
     private XnioExecutor.Key again;
     private long index = -1;
@@ -64,9 +68,10 @@
     }
 
     /** Begins from the list that this relay last held. */
-    public void start(Gate gate, Json known) throws IOException {
+    public void start(Gate gate, Admission admission, Json known) throws IOException {
         this.gate = gate;
-        gate.listed(turn.nowUs(), Gate.ListForm.CACHED, noted(entries(known), false));
+        this.admission = admission;
+        listed(Gate.ListForm.CACHED, entries(known), false);
         if (!onRequest) {
             follow();
         }
@@ -122,7 +127,7 @@
                 }
             });
             if (whole || !entries.isEmpty()) {
-                gate.listed(turn.nowUs(), whole ? Gate.ListForm.FULL : Gate.ListForm.DELTA, noted(entries, whole));
+                listed(whole ? Gate.ListForm.FULL : Gate.ListForm.DELTA, entries, whole);
             }
             return true;
         } catch (IOException e) {
@@ -142,7 +147,32 @@
         }
     }
 
-    private record Entry(InetSocketAddress where, Listed listed) {
+    private record Entry(InetSocketAddress where, Listed listed, Map<String, String> labels) {
+    }
+
+    /** Tells whoever chooses among units, pools before the decisions. */
+    private void listed(Gate.ListForm form, List<Entry> entries, boolean whole) {
+        List<Listed> listed = noted(entries, whole);
+        if (admission != null) {
+            Map<String, Map<String, String>> labels = new HashMap<>();
+            entries.stream().filter(e -> !e.labels.isEmpty()).forEach(e -> labels.put(e.listed.unit(), e.labels));
+            admission.listed(turn.nowUs(), form, listed, labels);
+        }
+        gate.listed(turn.nowUs(), form, listed);
+    }
+
+    /** Labels are our own addition to an entry; what is no text under them is left out. */
+    private static Map<String, String> labels(Json entry) {
+        if (!(entry.fields().get("labels") instanceof Map<?, ?> borne)) {
+            return Map.of();
+        }
+        Map<String, String> labels = new HashMap<>();
+        borne.forEach((name, value) -> {
+            if (value instanceof String text && labels.size() < MOST_LABELS) {
+                labels.put(String.valueOf(name), text);
+            }
+        });
+        return labels;
     }
 
     private List<Entry> entries(Json list) throws IOException {
@@ -155,7 +185,7 @@
             }
             entries.add(new Entry(e.address("address"), new Listed(unit, e.count("image_id"),
                 number(zones, e, "zone"), number(kinds, e, "type"), (int) e.wholeOr("group", 0), health,
-                e.wholeOr("since_ms", 0) * 1000)));
+                e.wholeOr("since_ms", 0) * 1000), labels(e)));
         }
         return entries;
     }
--- a/src/main/java/gatelock/wire/Line.java
+++ b/src/main/java/gatelock/wire/Line.java
@@ -89,7 +89,7 @@
         }
         this.call = call;
         this.user = user;
-        reader = new AnswerReader(parts);
+        reader = new AnswerReader(parts, home.mostBody());
         written = false;
     }
 
@@ -174,7 +174,7 @@
     }
 
     /** Gives the call up, or the idle connection; whoever made the call hears nothing more of it. */
-    void drop() {
+    public void drop() {
         callOver();
         end();
     }
--- a/src/main/java/gatelock/wire/Lines.java
+++ b/src/main/java/gatelock/wire/Lines.java
@@ -18,6 +18,7 @@
     private final long idleUs;
     private final long restUs;
     private final int most;
+    private final int mostBody;
     private int open;
     private boolean stopped;
 
@@ -30,6 +31,12 @@
      * @param most how many there may be; beyond that one without a call goes for each that is opened
      */
     public Lines(Turn turn, Counters counters, long openWithinUs, long idleUs, long restUs, int most) {
+        this(turn, counters, openWithinUs, idleUs, restUs, most, AnswerReader.MOST_BODY);
+    }
+
+    /** The same with answers of a size of their own, as the protocol's bound is only for reqs. */
+    public Lines(Turn turn, Counters counters, long openWithinUs, long idleUs, long restUs, int most, int mostBody) {
+        this.mostBody = mostBody;
         this.turn = turn;
         this.counters = counters;
         this.openWithinUs = openWithinUs;
@@ -47,6 +54,10 @@
         }
     }
 
+    int mostBody() {
+        return mostBody;
+    }
+
     /** Closes the idle ones; nothing is called any more. */
     public void stop() {
         stopped = true;
--- a/src/main/java/gatelock/wire/TakeIn.java
+++ b/src/main/java/gatelock/wire/TakeIn.java
@@ -4,6 +4,8 @@
 import gatelock.kept.Counters;
 import gatelock.kept.OpenReq;
 import gatelock.kept.UnitAnswer;
+import gatelock.plan.Admission;
+import gatelock.plan.Asked;
 import gatelock.relay.Gate;
 import gatelock.relay.Route;
 
@@ -56,9 +58,12 @@
     private final Counters counters;
     private final Names names;
     private final Admit admit;
+    private final Admission admission;
     private final Front front;
 
-    public TakeIn(Counters counters, Names names, Turn turn, Admit admit, Front front) {
+    /** @param admission what the plan in force means; null: there never is one */
+    public TakeIn(Counters counters, Names names, Turn turn, Admit admit, Front front, Admission admission) {
+        this.admission = admission;
         this.turn = turn;
         this.counters = counters;
         this.names = names;
@@ -71,28 +76,38 @@
         // Read from the path as it came, which goes on as it came.
         String path = exchange.getRequestURI();
         long length = exchange.getRequestContentLength();
+        int wrong = 0;
+        Admission.Way way = null;
+        if (admission != null && admission.plan() != null) {
+            Asked asked = new Asked(exchange.getRequestMethod().toString(), host(exchange), path,
+                exchange.getRequestHeaders()::getFirst);
+            way = admission.way(asked);
+            wrong = admission.refusal(asked, way);
+        }
         int slash = path.indexOf('/', 1);
-        Integer route = path.startsWith("/") ? names.routes.get(path.substring(1, slash < 0 ? path.length() : slash))
-            : null;
-        int wrong = formOf(exchange, route, length);
+        Integer route = way != null ? (Integer) way.classNo() : path.startsWith("/")
+            ? names.routes.get(path.substring(1, slash < 0 ? path.length() : slash)) : null;
+        wrong = wrong != 0 ? wrong : formOf(exchange, route, length);
         if (wrong != 0) {
             refuse(exchange, wrong);
         } else if (length == 0 || exchange.isRequestComplete()) {
-            take(exchange, route, new byte[0]);
+            take(exchange, way, route, new byte[0]);
         } else {
-            new Body(exchange, route, (int) length).handleEvent(exchange.getRequestChannel());
+            new Body(exchange, way, route, (int) length).handleEvent(exchange.getRequestChannel());
         }
     }
 
     /** A body on its way in. Undertow's own receiver takes it byte by byte, which cost a third of the time. */
     private final class Body implements ChannelListener<StreamSourceChannel> {
         private final HttpServerExchange exchange;
+        private final Admission.Way way;
         private final int route;
         private ByteBuffer bytes;
 
         /** @param length as stated, or -1: then the body comes in chunks */
-        Body(HttpServerExchange exchange, int route, int length) {
+        Body(HttpServerExchange exchange, Admission.Way way, int route, int length) {
             this.exchange = exchange;
+            this.way = way;
             this.route = route;
             bytes = ByteBuffer.allocate(length < 0 ? FIRST_CHUNKS : length + 1);
         }
@@ -117,7 +132,7 @@
                     return;
                 }
                 channel.suspendReads();
-                take(exchange, route, Arrays.copyOf(bytes.array(), bytes.position()));
+                take(exchange, way, route, Arrays.copyOf(bytes.array(), bytes.position()));
             } catch (IOException e) {
                 // The client left or broke its own framing before the req was whole: it was never taken.
                 counters.add("not taken, broken off");
@@ -185,7 +200,14 @@
         }
     }
 
-    private void take(HttpServerExchange exchange, int route, byte[] body) {
+    /** The host that a req names, without a port, or null. */
+    private static String host(HttpServerExchange exchange) {
+        String host = exchange.getRequestHeaders().getFirst(Headers.HOST);
+        int colon = host == null || host.endsWith("]") ? -1 : host.lastIndexOf(':');
+        return colon < 0 ? host : host.substring(0, colon);
+    }
+
+    private void take(HttpServerExchange exchange, Admission.Way way, int route, byte[] body) {
         HeaderMap headers = exchange.getRequestHeaders();
         String id = headers.getFirst(TRACE);
         if (admit.isOpen(id)) {
@@ -207,7 +229,7 @@
         long costUs = hint(headers.getFirst(HINT));
         // Undertow ends an exchange whose handler returns without having dispatched it.
         exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
-            admit.admit(req, route, org, key, costUs);
+            admit.admit(req, way, route, org, key, costUs);
             caller.watch();
         });
     }
--- a/src/main/java/gatelock/wire/Turn.java
+++ b/src/main/java/gatelock/wire/Turn.java
@@ -6,6 +6,8 @@
 import java.lang.System.Logger.Level;
 import java.nio.ByteBuffer;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 /** The one thread that does everything: its clock, its timers, and its queue of what is to be done next. */
 public final class Turn {
@@ -40,6 +42,21 @@
         return thread.executeAfter(() -> run(what), (Math.max(0, us) + 999) / 1000, TimeUnit.MILLISECONDS);
     }
 
+    /**
+     * Does slow work on the worker's one task thread, and then what is to follow here. What the work throws is told to
+     * nobody but the log: whoever must hear of it catches it.
+     */
+    public <T> void aside(Supplier<T> slow, Consumer<T> then) {
+        thread.getWorker().execute(() -> {
+            try {
+                T done = slow.get();
+                soon(() -> then.accept(done));
+            } catch (RuntimeException | Error e) {
+                unexpected(e);
+            }
+        });
+    }
+
     /** A buffer for one read; what is in it must be used before the next read anywhere. */
     ByteBuffer reading() {
         return reading.clear();
--- /dev/null
+++ b/src/test/java/gatelock/plan/AdmissionTest.java
@@ -0,0 +1,147 @@
+package gatelock.plan;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import gatelock.relay.Ending;
+import gatelock.relay.Gate;
+import gatelock.relay.Listed;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+import org.junit.jupiter.api.Test;
+
+/** What plans mean for reqs: pools, fallbacks, budgets, and what one version is beside another. */
+final class AdmissionTest {
+    private static final long SECOND = 1_000_000;
+    private static final Waiting NOBODY = new Waiting() {
+        @Override
+        public void passes(long nowUs) {
+            throw new AssertionError("nobody waits");
+        }
+
+        @Override
+        public void shed(long nowUs, long pauseUs) {
+            throw new AssertionError("nobody waits");
+        }
+    };
+    private static final String POOLS = """
+        {'format': 1, 'unmatched': 'refuse',
+         'pools': {'east': {'zones': ['east'], 'fallback': 'gold', 'leastShare': 0.5}, 'gold': {'labels': {'tier': 'gold'}},
+          'west': {'zones': ['west']}},
+         'retries': {'two': {'tries': 2, 'after': ['errored'], 'budget': 0.1, 'tryMs': 100}},
+         'routes': [{'name': 'r', 'path': '/read', 'class': 'read', 'pool': 'east', 'retries': 'two'},
+          {'name': 'w', 'path': '/west', 'class': 'read', 'pool': 'west'}]}
+        """;
+
+    private final Admission admission = new Admission(0.5);
+    private long nowUs = SECOND;
+
+    private static Listed unit(String name, int zone, Listed.Health health) {
+        return new Listed(name, 1, zone, 0, 0, health, 0);
+    }
+
+    private void list(int east, int west) {
+        List<Listed> units = new ArrayList<>();
+        for (int i = 0; i < east + west; i++) {
+            units.add(unit((i < east ? "e" + i : "w" + (i - east)), i < east ? 0 : 1, Listed.Health.READY));
+        }
+        admission.listed(nowUs, Gate.ListForm.FULL, units, Map.of("w0", Map.of("tier", "gold", "rack", "7")));
+    }
+
+    private Admission.Pass ask(String path) {
+        Asked asked = new Asked("GET", null, path, n -> null);
+        return admission.ask(nowUs, admission.way(asked), 0, nowUs + SECOND, NOBODY);
+    }
+
+    @Test
+    void aPoolReachesItsUnitsAndItsFallbackServesWhenTooFewAreLeft() {
+        list(10, 5);
+        admission.follow(nowUs, Samples.plan(POOLS));
+        Admission.Pass pass = ask("/read/x");
+        assertThat(pass.reaches("e0")).isTrue();
+        assertThat(pass.reaches("w0")).isFalse();
+        assertThat(pass.reaches("unheard of")).isFalse();
+        nowUs += SECOND;
+        list(5, 5);
+        assertThat(ask("/read").reaches("e0")).as("half are enough").isTrue();
+        list(4, 5);
+        Admission.Pass fallen = ask("/read");
+        assertThat(fallen.reaches("e0")).isFalse();
+        assertThat(fallen.reaches("w0")).as("bears the label").isTrue();
+        assertThat(fallen.reaches("w1")).isFalse();
+        assertThat(pass.reaches("e0")).as("one that was taken before stays with its pool").isTrue();
+        list(5, 5);
+        assertThat(ask("/read").reaches("e0")).as("no swinging at the bound").isFalse();
+        list(6, 5);
+        assertThat(ask("/read").reaches("e0")).isTrue();
+        // What is gone for good is in time no longer missed.
+        list(4, 5);
+        assertThat(ask("/read").reaches("e0")).isFalse();
+        nowUs += 1_200 * SECOND;
+        assertThat(ask("/read").reaches("e0")).isTrue();
+        admission.listed(nowUs, Gate.ListForm.DELTA, List.of(unit("e0", 0, Listed.Health.DRAINING),
+            unit("w0", 1, Listed.Health.GONE)), Map.of());
+        assertThat(ask("/read").reaches("w0")).isFalse();
+    }
+
+    @Test
+    void furtherTriesAreNarrowedByTheirPolicyAndBudget() {
+        list(2, 2);
+        admission.follow(nowUs, Samples.plan(POOLS));
+        Admission.Pass pass = ask("/read");
+        assertThat(pass.mostTries()).isEqualTo(2);
+        assertThat(pass.tryUs()).isEqualTo(100_000);
+        assertThat(pass.goesOn(nowUs, Ending.TIMED_OUT)).isFalse();
+        int gone = 0;
+        for (int i = 0; i < 1_000; i++) {
+            nowUs += 1_000;
+            gone += ask("/read").goesOn(nowUs, Ending.ERRORED) ? 1 : 0;
+        }
+        assertThat(gone).isBetween(90, 115);
+        // A budget that is spent stays spent when a version comes that does not change it.
+        admission.follow(nowUs, Samples.plan(POOLS.replace("'format': 1", "'format': 1, 'note': 'again'")));
+        gone = 0;
+        for (int i = 0; i < 10; i++) {
+            gone += ask("/read").goesOn(nowUs, Ending.ERRORED) ? 1 : 0;
+        }
+        assertThat(gone).isLessThan(4);
+        assertThat(ask("/west").goesOn(nowUs, Ending.TIMED_OUT)).as("nothing was set there").isTrue();
+    }
+
+    @Test
+    void aReqGoesOnUnderTheVersionThatTookIt() {
+        list(2, 2);
+        admission.follow(nowUs, Samples.plan(POOLS));
+        Admission.Pass pass = ask("/read");
+        admission.follow(nowUs, Samples.plan("""
+            {'format': 1, 'pools': {'east': {'zones': ['west']}}, 'removes': ['w'],
+             'routes': [{'name': 'r', 'path': '/read', 'class': 'read', 'pool': 'east'}]}
+            """));
+        assertThat(pass.reaches("e0")).isTrue();
+        assertThat(pass.reaches("w0")).isFalse();
+        assertThat(pass.mostTries()).isEqualTo(2);
+        assertThat(ask("/read").reaches("w0")).isTrue();
+    }
+
+    @Test
+    void aVersionThatIsADangerBesideTheOneInForceIsTurnedDown() {
+        list(6, 4);
+        admission.follow(nowUs, Samples.plan(POOLS));
+        Plan without = Samples.plan(POOLS.replace(",\n  {'name': 'w', 'path': '/west', 'class': 'read', 'pool': 'west'}", ""));
+        assertThat(admission.beside(nowUs, without)).extracting(Finding::code).doesNotContain("B-TRAFFIC");
+        ask("/west");
+        assertThat(admission.beside(nowUs, without)).extracting(Finding::code).contains("B-TRAFFIC");
+        nowUs += 61 * SECOND;
+        ask("/read");
+        nowUs += 20 * SECOND;
+        assertThat(admission.beside(nowUs, without)).extracting(Finding::code).doesNotContain("B-TRAFFIC");
+        ask("/west");
+        String said = "{'format': 1, 'unmatched': 'refuse', 'removes': ['w'], 'pools': {'p': {'zones': ['%s']}},"
+            + " 'routes': [{'name': 'r', 'path': '/read', 'class': 'read', 'pool': 'p'}]}";
+        assertThat(admission.beside(nowUs, Samples.plan(String.format(said, "east")))).isEmpty();
+        assertThat(admission.beside(nowUs, Samples.plan(String.format(said, "west"))))
+            .extracting(Finding::code).containsExactly("B-UNITS");
+    }
+}
--- /dev/null
+++ b/src/test/java/gatelock/plan/CompilerTest.java
@@ -0,0 +1,90 @@
+package gatelock.plan;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.api.DynamicTest;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.TestFactory;
+
+/**
+ * Broken versions, each with the findings it must bring: a file under plans/ begins with lines {@code # line:column
+ * pointer code}, one for each finding in order; the version follows, its lines counted from 1 again.
+ */
+final class CompilerTest {
+
+    @TestFactory
+    Stream<DynamicTest> eachVersionBringsJustItsFindings() throws IOException {
+        try (Stream<Path> files = Files.list(Path.of("src/test/resources/plans"))) {
+            return files.sorted().toList().stream().map(f -> DynamicTest.dynamicTest(f.getFileName().toString(), () -> {
+                List<String> lines = Files.readAllLines(f);
+                List<String> expected = lines.stream().takeWhile(l -> l.startsWith("# ")).map(l -> l.substring(2)).toList();
+                String text = String.join("\n", lines.subList(expected.size(), lines.size()));
+                Compiler.Compiled compiled = Samples.compiled(text);
+                assertThat(compiled.findings()).as("%s", compiled.findings())
+                    .extracting(x -> x.line() + ":" + x.column() + " " + x.pointer() + " " + x.code())
+                    .containsExactlyInAnyOrderElementsOf(expected);
+                assertThat(compiled.findings()).allSatisfy(x -> {
+                    assertThat(x.wrong()).isNotBlank();
+                    assertThat(x.mend()).isNotBlank();
+                });
+                assertThat(compiled.good()).isEqualTo(compiled.findings().stream().noneMatch(Finding::grave));
+            }));
+        }
+    }
+
+    @Test
+    void whatIsNotSaidIsInheritedAndThenByDefault() {
+        Plan plan = Samples.plan("""
+            {'format': 1, 'defaults': {'pool': 'all', 'retries': 'none'},
+             'pools': {'all': {}, 'east': {'zones': ['east'], 'fallback': 'all', 'leastShare': 0.5, 'retries': 'two'}},
+             'retries': {'none': {'tries': 1}, 'two': {'tries': 2}, 'three': {'tries': 3, 'after': ['errored']}},
+             'limits': {'few': {'inFlight': 3}},
+             'routes': [{'name': 'base', 'abstract': true, 'pool': 'east', 'class': 'read', 'limits': ['few']},
+              {'name': 'own', 'inherits': 'base', 'path': '/own', 'retries': 'three', 'limits': []},
+              {'name': 'heir', 'inherits': 'own', 'path': '/heir'},
+              {'name': 'pooled', 'inherits': 'base', 'path': '/pooled'},
+              {'name': 'plain', 'path': '/plain', 'class': 'claim'}]}
+            """);
+        assertThat(plan.routes()).isEqualTo(4);
+        Entry own = plan.entries().get("own");
+        Entry heir = plan.entries().get("heir");
+        Entry pooled = plan.entries().get("pooled");
+        Entry plain = plan.entries().get("plain");
+        assertThat(plan.retries(own, "east").name()).isEqualTo("three");
+        assertThat(own.limits()).isEmpty();
+        assertThat(plan.retries(heir, "all").name()).isEqualTo("three");
+        assertThat(plan.retries(pooled, "east").name()).isEqualTo("two");
+        assertThat(plan.retries(pooled, "all").name()).isEqualTo("none");
+        assertThat(pooled.limits()).extracting(Limit::name).containsExactly("few");
+        assertThat(plain.pool()).isEqualTo("all");
+        assertThat(plan.chain("east")).containsExactly("east", "all");
+    }
+
+    @Test
+    void aDiffIsOfMeaningNotOfText() {
+        String text = """
+            {'format': 1, 'limits': {'a': {'ratePerS': 5}}, 'routes': [
+             {'name': 'x', 'path': '/x', 'class': 'read', 'limits': ['a']}, {'name': 'y', 'path': '/y', 'class': 'claim'}]}
+            """;
+        String moved = """
+            {'routes': [{'class': 'claim', 'path': '/y/', 'name': 'y'},
+              {'name': 'x', 'limits': ['a'], 'path': '/x', 'class': 'read', 'host': '*'}],
+             'limits': {'a': {'per': 'all', 'ratePerS': 5.0, 'burst': 5}}, 'note': 'moved', 'format': 1}
+            """;
+        assertThat(Diff.of(Samples.plan(text), Samples.plan(moved), Samples.GROUNDS)).isEmpty();
+        assertThat(Diff.of(Samples.plan(text), Samples.plan(text.replace("5}", "6}").replace("'/y'", "'/z'")),
+            Samples.GROUNDS)).hasSize(2).anyMatch(l -> l.contains("limits") && l.contains("6 reqs a second"))
+            .anyMatch(l -> l.startsWith("route y: is for"));
+        String one = "{'name': 'one', 'path': '/p', 'headers': {'x-a': '1'}, 'class': 'read'}";
+        String two = "{'name': 'two', 'path': '/p/q', 'class': 'read'}";
+        assertThat(Diff.of(Samples.plan("{'format': 1, 'routes': [" + one + ", " + two + "]}"),
+            Samples.plan("{'format': 1, 'routes': [" + two + ", " + one + "]}"), Samples.GROUNDS))
+            .singleElement().asString().contains("meet route two, met one");
+    }
+}
--- /dev/null
+++ b/src/test/java/gatelock/plan/LimitsTest.java
@@ -0,0 +1,229 @@
+package gatelock.plan;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+/** Limits under random reqs, ends and versions, against what they may never let happen. */
+final class LimitsTest {
+    private static final long SECOND = 1_000_000;
+
+    private static Limit limit(String name, Limit.Per per, double perS, double burst, int inFlight, int length, long waitUs) {
+        return new Limit(name, per, perS / 1e6, burst, inFlight, length, waitUs);
+    }
+
+    private static Limit rate(double perS, double burst) {
+        return limit("l", Limit.Per.ALL, perS, burst, Integer.MAX_VALUE, 0, 0);
+    }
+
+    /** One req and all that it is told. */
+    private static final class Req implements Waiting {
+        private final int tenant;
+        private final long askedUs;
+        private Limits.Told told;
+        private int passed;
+        private int shed;
+        private long toldUs;
+
+        Req(Limits limits, long nowUs, int tenant, Limit... its) {
+            this.tenant = tenant;
+            this.askedUs = nowUs;
+            told = limits.ask(nowUs, List.of(its), "r", tenant, nowUs + 60 * SECOND, this);
+            passed = told.answer() == Limits.Answer.PASSES ? 1 : 0;
+            shed = told.answer() == Limits.Answer.SHED ? 1 : 0;
+        }
+
+        @Override
+        public void passes(long nowUs) {
+            passed++;
+            toldUs = nowUs;
+        }
+
+        @Override
+        public void shed(long nowUs, long pauseUs) {
+            shed++;
+            toldUs = nowUs;
+            assertThat(pauseUs).isPositive();
+        }
+
+        private boolean waits() {
+            return passed + shed == 0;
+        }
+
+        private void over(long nowUs) {
+            if (told.ticket() != null) {
+                told.ticket().over(nowUs);
+            }
+        }
+    }
+
+    private static int passes(Limits limits, long nowUs, int reqs, Limit limit) {
+        int passed = 0;
+        for (int i = 0; i < reqs; i++) {
+            passed += new Req(limits, nowUs, 0, limit).passed;
+        }
+        return passed;
+    }
+
+    @Test
+    void aChangedRateHandsOutNoFreshBurst() {
+        Limits limits = new Limits();
+        limits.follow(1, Map.of("l", rate(10, 20)));
+        assertThat(passes(limits, 1, 30, rate(10, 20))).isEqualTo(20);
+        Limit more = rate(100, 200);
+        limits.follow(2, Map.of("l", more));
+        assertThat(passes(limits, 2, 30, more)).isZero();
+        assertThat(passes(limits, 2 + SECOND / 10, 30, more)).isEqualTo(10);
+        Limit byTenant = limit("l", Limit.Per.TENANT, 100, 200, Integer.MAX_VALUE, 0, 0);
+        limits.follow(SECOND, Map.of("l", byTenant));
+        assertThat(passes(limits, SECOND, 30, byTenant)).as("counted for something else now").isEqualTo(1);
+        Limit free = limit("l", Limit.Per.TENANT, Double.POSITIVE_INFINITY, Double.POSITIVE_INFINITY, 1_000, 0, 0);
+        limits.follow(SECOND, Map.of("l", free));
+        assertThat(passes(limits, SECOND, 30, free)).isEqualTo(30);
+        limits.follow(SECOND, Map.of("l", byTenant));
+        assertThat(passes(limits, SECOND, 30, byTenant)).as("no rate before").isEqualTo(1);
+    }
+
+    @Test
+    void whatIsInFlightStaysCountedWhenTheLimitChanges() {
+        Limits limits = new Limits();
+        Limit five = limit("l", Limit.Per.ALL, Double.POSITIVE_INFINITY, 1, 5, 0, 0);
+        limits.follow(1, Map.of("l", five));
+        List<Req> out = new ArrayList<>();
+        for (int i = 0; i < 5; i++) {
+            out.add(new Req(limits, 1, 0, five));
+        }
+        Limit three = limit("l", Limit.Per.ALL, Double.POSITIVE_INFINITY, 1, 3, 1, SECOND);
+        limits.follow(2, Map.of("l", three));
+        Req waits = new Req(limits, 2, 0, three);
+        assertThat(waits.waits()).isTrue();
+        out.get(0).over(3);
+        out.get(1).over(3);
+        assertThat(waits.waits()).as("three are still out").isTrue();
+        out.get(2).over(4);
+        assertThat(waits.passed).isEqualTo(1);
+    }
+
+    @Test
+    void aQueueThatGetsShorterWhileFullShedsTheLastOfTheLongest() {
+        Limits limits = new Limits();
+        Limit four = limit("l", Limit.Per.ALL, 0.001, 1, Integer.MAX_VALUE, 4, SECOND);
+        limits.follow(1, Map.of("l", four));
+        new Req(limits, 1, 0, four);
+        Req a1 = new Req(limits, 1, 1, four);
+        Req a2 = new Req(limits, 1, 1, four);
+        Req a3 = new Req(limits, 1, 1, four);
+        Req b1 = new Req(limits, 1, 2, four);
+        Limit two = limit("l", Limit.Per.ALL, 0.001, 1, Integer.MAX_VALUE, 2, SECOND);
+        limits.follow(2, Map.of("l", two));
+        assertThat(List.of(a1.shed, a2.shed, a3.shed, b1.shed)).containsExactly(0, 1, 1, 0);
+        assertThat(limits.waiting()).isEqualTo(2);
+    }
+
+    @Test
+    void aTenantThatAsksMuchTakesNoPlaceFromOneThatAsksLittle() {
+        Limits limits = new Limits();
+        Limit limit = limit("l", Limit.Per.ALL, 10, 1, Integer.MAX_VALUE, 10, 10 * SECOND);
+        limits.follow(1, Map.of("l", limit));
+        List<Req> much = new ArrayList<>();
+        List<Req> little = new ArrayList<>();
+        for (long us = 1; us < 10 * SECOND; us += 10_000) {
+            much.add(new Req(limits, us, 1, limit));
+            if (us % 250_000 < 10_000) {
+                little.add(new Req(limits, us, 2, limit));
+            }
+            limits.due(us);
+        }
+        assertThat(little.stream().filter(r -> r.passed == 1).count()).isGreaterThan(little.size() * 9 / 10);
+        assertThat(much.stream().filter(r -> r.passed == 1).count()).isBetween(50L, 65L);
+    }
+
+    @Test
+    void oneThatWaitsForTwoLimitsPassesWhenTheOtherOneIsFree() {
+        Limits limits = new Limits();
+        Limit a = limit("a", Limit.Per.ALL, Double.POSITIVE_INFINITY, 1, 1, 5, 5 * SECOND);
+        Limit b = limit("b", Limit.Per.ALL, Double.POSITIVE_INFINITY, 1, 1, 0, 0);
+        Req onA = new Req(limits, 1, 0, a);
+        Req onB = new Req(limits, 1, 0, b);
+        Req both = new Req(limits, 1, 0, a, b);
+        assertThat(both.waits()).isTrue();
+        onA.over(2);
+        assertThat(both.waits()).as("b is full").isTrue();
+        onB.over(3);
+        assertThat(both.passed).isEqualTo(1);
+    }
+
+    @Property(tries = 300, seed = "17")
+    void boundsHoldAndEachReqIsToldOnce(@ForAll long seed) {
+        RandomGenerator random = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
+        Limits limits = new Limits();
+        Limit[] its = new Limit[3];
+        List<Req> all = new ArrayList<>();
+        List<Req> out = new ArrayList<>();
+        long nowUs = 1;
+        long fromUs = 1;
+        double passed = 0;
+        for (int i = 0; i < 400; i++) {
+            if (i % 100 == 0) {
+                Limit.Per[] pers = Limit.Per.values();
+                Map<String, Limit> next = new HashMap<>();
+                for (int j = 0; j < its.length; j++) {
+                    its[j] = limit("l" + j, j == 0 ? Limit.Per.ALL : pers[random.nextInt(4)], 1 + random.nextInt(50),
+                        1 + random.nextInt(5), 1 + random.nextInt(6), random.nextInt(4), 1 + random.nextInt(500_000));
+                    next.put(its[j].name(), its[j]);
+                }
+                limits.follow(nowUs, next);
+                fromUs = nowUs;
+                passed = all.stream().mapToInt(r -> r.passed).sum();
+            }
+            long nextUs = nowUs + 1 + random.nextInt(60_000);
+            // Called when it says, as a timer would.
+            for (long us = limits.nextUs(nowUs); us <= nextUs; us = limits.nextUs(us)) {
+                nowUs = Math.max(nowUs + 1, us);
+                limits.due(nowUs);
+            }
+            nowUs = Math.max(nowUs, nextUs);
+            if (random.nextInt(3) == 0 && !out.isEmpty()) {
+                out.remove(random.nextInt(out.size())).over(nowUs);
+            } else {
+                Req req = new Req(limits, nowUs, random.nextInt(3), its);
+                all.add(req);
+                if (req.shed == 0) {
+                    out.add(req);
+                }
+            }
+            out.removeIf(r -> r.shed > 0);
+            assertThat(all).allMatch(r -> r.passed + r.shed <= 1);
+            long inFlight = out.stream().filter(r -> r.passed == 1).count();
+            int most = its[0].inFlight();
+            assertThat(limits.inFlight("l0")).isEqualTo((int) inFlight);
+            if (i % 100 > 50) {
+                assertThat(inFlight).isLessThanOrEqualTo(Math.max(most, 6));
+            }
+            double newly = all.stream().mapToInt(r -> r.passed).sum() - passed;
+            assertThat(newly).isLessThanOrEqualTo(its[0].burst() + 1e-6 + (nowUs - fromUs) * its[0].perUs());
+            long late = nowUs;
+            assertThat(out.stream().filter(Req::waits)).allMatch(r -> late - r.askedUs <= 500_001);
+        }
+        for (Req r : List.copyOf(out)) {
+            r.over(nowUs);
+        }
+        limits.due(nowUs + 60 * SECOND);
+        assertThat(limits.waiting()).isZero();
+        assertThat(limits.inFlight("l0")).isEqualTo((int) all.stream().filter(r -> r.toldUs > nowUs(out)
+            && r.passed == 1).count());
+    }
+
+    private static long nowUs(List<Req> out) {
+        return out.stream().mapToLong(r -> Math.max(r.toldUs, r.askedUs)).max().orElse(0) + 3600 * SECOND;
+    }
+}
--- /dev/null
+++ b/src/test/java/gatelock/plan/Samples.java
@@ -0,0 +1,33 @@
+package gatelock.plan;
+
+import gatelock.relay.Route;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+
+/** A small deployment, and versions for it. */
+final class Samples {
+    static final Grounds GROUNDS = new Grounds(Map.of("read", 0, "post", 1, "claim", 2), List.of(
+        new Route(Route.Repeat.RETRIABLE, Route.Group.ALL, 0, 250_000, 1),
+        new Route(Route.Repeat.DEDUPED, Route.Group.ZONE, 5_000_000, 400_000, 3),
+        new Route(Route.Repeat.NON_RETRIABLE, Route.Group.ALL, 0, 500_000, 3)),
+        List.of(1_000_000L, 2_000_000L, 3_000_000L), Map.of("acme", 0, "bee", 1), List.of("east", "west"),
+        List.of("small", "large"));
+
+    private Samples() {
+    }
+
+    /** Compiles a version written with single quotes. */
+    static Compiler.Compiled compiled(String text) {
+        return new Compiler(GROUNDS).compile(Stamp.Epoch.NONE, 1, text.replace('\'', '"').getBytes(StandardCharsets.UTF_8));
+    }
+
+    static Plan plan(String text) {
+        Compiler.Compiled compiled = compiled(text);
+        if (!compiled.good()) {
+            throw new AssertionError(compiled.findings());
+        }
+        return compiled.plan();
+    }
+}
--- /dev/null
+++ b/src/test/java/gatelock/standin/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins for what a relay speaks to, written from public specifications or our own; loopback only. */
+package gatelock.standin;
