Hard cases of versions over sockets; places looked up on demand, versions bounded by the heap

Cause: a version of 60,000 routes filled a heap of 64 MB while it was read, and reqs were lost; places of all values took most. Change: places are found in a second pass for findings only; text is bounded to a 64th of the heap; slow work that throws is followed by what stands for its failure, so that the stream never stands still.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo test lint run toys
+.PHONY: build demo test lint run measure-plan
 
 build:
 	mvn -B -q -DskipTests package
@@ -18,3 +18,8 @@
 # A relay on the example's configuration; start the toy servers first: java examples/Toy.java
 run: build
 	PROXY_CONFIG=examples/relay.json java -jar target/gatelock.jar serve
+
+# The tables of docs/measurements/versioned-configuration.md.
+measure-plan:
+	mvn -B -q -DskipTests package dependency:build-classpath -Dmdep.outputFile=target/test.classpath
+	java -Xmx1g -cp "target/classes:target/test-classes:$$(cat target/test.classpath)" gatelock.plan.PlanMeasure
--- a/src/main/java/gatelock/boot/Commands.java
+++ b/src/main/java/gatelock/boot/Commands.java
@@ -264,6 +264,9 @@
         private String at;
 
         final int ask(String method, String what) throws Exception {
+            if (!at.matches("[^/\\s:]+:[0-9]{1,5}")) {
+                throw new Unusable("--at wants address:port, found " + at);
+            }
             HttpRequest asked = HttpRequest.newBuilder(URI.create("http://" + at + what)).timeout(Duration.ofSeconds(10))
                 .method(method, HttpRequest.BodyPublishers.noBody()).build();
             try {
--- a/src/main/java/gatelock/boot/Operator.java
+++ b/src/main/java/gatelock/boot/Operator.java
@@ -37,7 +37,8 @@
         }
         Operator read = findings.isEmpty() ? of(draft.root(), findings) : null;
         if (!findings.isEmpty()) {
-            throw new IOException(findings.stream().map(f -> file + ":" + f).collect(Collectors.joining("\n")));
+            List<Finding> told = draft == null ? findings : draft.placed(findings);
+            throw new IOException(told.stream().map(f -> file + ":" + f).collect(Collectors.joining("\n")));
         }
         return read;
     }
--- a/src/main/java/gatelock/boot/Steering.java
+++ b/src/main/java/gatelock/boot/Steering.java
@@ -26,6 +26,12 @@
     private static final long FIRST_WITHIN_US = 2_000_000;
     private static final long FIRST_WAIT_US = 200_000;
     private static final long LOOK_US = 20_000;
+    /**
+     * Guards against a version that fills the memory while it is read, of which reqs would be lost: so many bytes of heap
+     * for each of its text, as measured, the plan before it and room for reqs beside. Could turn down a large version
+     * that would just have fitted.
+     */
+    private static final long HEAP_FOR_A_BYTE = 64;
     private static final long OPEN_US = 1_000_000;
     private static final long IDLE_US = 30_000_000;
 
@@ -43,10 +49,15 @@
         this.control = operator.control();
         this.listener = operator.listener();
         admission = new Admission(control.mostDropped());
-        keep = control.directory() == null ? null : new Keep(control.directory(), control.mostBytes());
+        int mostBytes = (int) Math.min(control.mostBytes(), Runtime.getRuntime().maxMemory() / HEAP_FOR_A_BYTE);
+        if (mostBytes < control.mostBytes()) {
+            LOG.log(Level.INFO, "versions of up to " + mostBytes + " bytes are taken, not " + control.mostBytes()
+                + ": more could fill this relay's memory");
+        }
+        keep = control.directory() == null ? null : new Keep(control.directory(), mostBytes);
         steward = new Steward(turn, counters, new Succession(control.history()), admission,
             new Compiler(told.grounds()), keep);
-        Lines lines = new Lines(turn, counters, OPEN_US, IDLE_US, 0, 2, control.mostBytes());
+        Lines lines = new Lines(turn, counters, OPEN_US, IDLE_US, 0, 2, mostBytes);
         subscription = new Subscription(turn, counters, lines, steward, new Backoff(FIRST_WAIT_US, control.mostWaitUs(),
             new SplittableRandom(told.charter().seed() + 2)), told.name(), control.services(), control.holdMs());
         window = new Window(turn, counters, steward, () -> subscription);
@@ -60,7 +71,7 @@
         if (keep == null) {
             follow(ready);
         } else {
-            turn.aside(keep::read, found -> {
+            turn.<List<Keep.Kept>>aside(keep::read, List.of(), found -> {
                 recover(found);
                 follow(ready);
             });
--- a/src/main/java/gatelock/control/Steward.java
+++ b/src/main/java/gatelock/control/Steward.java
@@ -92,7 +92,7 @@
 
     private void compile(Stamp stamp, byte[] text, Consumer<Told> then) {
         long fromUs = turn.nowUs();
-        turn.aside(() -> compiler.compile(stamp.epoch(), stamp.number(), text), compiled -> {
+        turn.aside(() -> compiler.compile(stamp.epoch(), stamp.number(), text), Compiler.FAILED, compiled -> {
             latestCompileUs = turn.nowUs() - fromUs;
             then.accept(compiled.good() ? beside(compiled.plan(), text, compiled.findings(), "control service")
                 : refuse(stamp, compiled.findings(), true));
@@ -109,7 +109,7 @@
         }
         swap(plan, why);
         if (keep != null) {
-            turn.aside(() -> keep.keep(plan.stamp(), text), failed -> {
+            turn.aside(() -> keep.keep(plan.stamp(), text), "it failed", failed -> {
                 if (failed != null) {
                     counters.add("versions not kept");
                     LOG.log(Level.WARNING, "version {0} is in force and not kept on disk: {1}", Named.of("version",
@@ -161,7 +161,7 @@
             then.accept("no version " + number + " is remembered; see history");
             return;
         }
-        turn.aside(() -> compiler.compile(past.stamp().epoch(), number, past.text()), compiled -> {
+        turn.aside(() -> compiler.compile(past.stamp().epoch(), number, past.text()), Compiler.FAILED, compiled -> {
             if (!compiled.good()) {
                 then.accept("version " + number + " is not sound any more: " + compiled.findings());
                 return;
--- a/src/main/java/gatelock/control/Subscription.java
+++ b/src/main/java/gatelock/control/Subscription.java
@@ -233,6 +233,7 @@
     /** One call. */
     private final class Asked implements Line.User {
         private final InetSocketAddress to;
+        private String unreadable;
 
         Asked(InetSocketAddress to) {
             this.to = to;
@@ -250,10 +251,15 @@
         @Override
         public void broken(boolean written) {
             if (current()) {
-                failed(written ? "it broke off" : "it can't be reached");
+                failed(unreadable != null ? unreadable : written ? "it broke off" : "it can't be reached");
             }
         }
 
+        @Override
+        public void unreadable(String why) {
+            unreadable = why.startsWith("body of") ? "the version is larger than may be here: " + why : why;
+        }
+
         @Override
         public void late() {
             if (current()) {
--- a/src/main/java/gatelock/plan/Checks.java
+++ b/src/main/java/gatelock/plan/Checks.java
@@ -20,14 +20,12 @@
     private static final int LOOKED_AT = 2_000;
 
     private final Sheet sheet;
-    private final Draft draft;
     private final Grounds grounds;
     private final List<Finding> findings;
     private final Set<String> used = new HashSet<>();
 
     private Checks(Sheet sheet, Grounds grounds, List<Finding> findings) {
         this.sheet = sheet;
-        this.draft = sheet.draft();
         this.grounds = grounds;
         this.findings = findings;
     }
@@ -58,7 +56,7 @@
             used.add(section + "/" + name);
             return true;
         }
-        findings.add(draft.grave(code, pointer, "there is no " + name + " under " + section,
+        findings.add(Draft.grave(code, pointer, "there is no " + name + " under " + section,
             "add it there, or name one of " + some(section)));
         return false;
     }
@@ -95,11 +93,11 @@
                 named("pools", pool.get("fallback").asText(), pointer + "/fallback", "M-FALLBACK");
                 List<String> loop = loop(e.getKey());
                 if (!loop.isEmpty()) {
-                    findings.add(draft.grave("M-FALLBACK-LOOP", pointer + "/fallback", "its fallbacks lead back to it: "
+                    findings.add(Draft.grave("M-FALLBACK-LOOP", pointer + "/fallback", "its fallbacks lead back to it: "
                         + String.join(" > ", loop), "let one of them have no fallback, or another"));
                 }
             } else if (pool.has("leastShare")) {
-                findings.add(draft.warning("M-LEAST", pointer + "/leastShare", "a least share without a fallback does "
+                findings.add(Draft.warning("M-LEAST", pointer + "/leastShare", "a least share without a fallback does "
                     + "nothing", "name a fallback, or take it out"));
             }
         });
@@ -115,12 +113,12 @@
             if (known.contains(name)) {
                 fits++;
             } else {
-                findings.add(draft.warning("M-UNKNOWN", pointer + "/" + field + "/" + i, "the deployment has no " + name
+                findings.add(Draft.warning("M-UNKNOWN", pointer + "/" + field + "/" + i, "the deployment has no " + name
                     + " among its " + field, "name one of " + String.join(", ", known)));
             }
         }
         if (fits == 0) {
-            findings.add(draft.grave("M-POOL-EMPTY", pointer + "/" + field, "no unit can ever be in this pool",
+            findings.add(Draft.grave("M-POOL-EMPTY", pointer + "/" + field, "no unit can ever be in this pool",
                 "name one of " + String.join(", ", known)));
         }
     }
@@ -156,16 +154,16 @@
             JsonNode limit = e.getValue();
             for (String field : List.of("ratePerS", "inFlight")) {
                 if (limit.has(field) && limit.get(field).asDouble() <= 0) {
-                    findings.add(draft.grave("M-ZERO", pointer + "/" + field, "a limit of zero sheds every req",
+                    findings.add(Draft.grave("M-ZERO", pointer + "/" + field, "a limit of zero sheds every req",
                         "give it more than 0, or take the routes out that lead there"));
                 }
             }
             if (limit.has("burst") && limit.get("burst").asDouble() < 1) {
-                findings.add(draft.grave("M-ZERO", pointer + "/burst", "with a burst under 1 no req ever passes",
+                findings.add(Draft.grave("M-ZERO", pointer + "/burst", "with a burst under 1 no req ever passes",
                     "give it 1 or more"));
             }
             if (limit.has("burst") && !limit.has("ratePerS")) {
-                findings.add(draft.warning("M-BURST", pointer + "/burst", "a burst without a rate does nothing",
+                findings.add(Draft.warning("M-BURST", pointer + "/burst", "a burst without a rate does nothing",
                     "give it ratePerS, or take it out"));
             }
         });
@@ -176,11 +174,11 @@
         for (Sheet.Line line : sheet.lines()) {
             String at = line.pointer();
             if (!names.add(line.name())) {
-                findings.add(draft.grave("M-NAME-TWICE", at + "/name", "an earlier route is called " + line.name(),
+                findings.add(Draft.grave("M-NAME-TWICE", at + "/name", "an earlier route is called " + line.name(),
                     "give each route a name of its own"));
             }
             if (line.inherits() != null && line.parent() == null) {
-                findings.add(draft.grave("M-PARENT", at + "/inherits", "no route before this one is called "
+                findings.add(Draft.grave("M-PARENT", at + "/inherits", "no route before this one is called "
                     + line.inherits(), "name one that stands before it"));
             }
             if (!line.isAbstract()) {
@@ -193,7 +191,7 @@
     private void leads(Sheet.Line line, String at) {
         Integer classNo = line.className() == null ? null : grounds.classes().get(line.className());
         if (classNo == null) {
-            findings.add(draft.grave("M-CLASS", at(line, "class"), line.className() == null
+            findings.add(Draft.grave("M-CLASS", at(line, "class"), line.className() == null
                 ? "it leads nowhere: it has no class" : "the deployment has no class " + line.className(),
                 "name one of " + String.join(", ", grounds.classes().keySet())));
         }
@@ -226,7 +224,7 @@
     private void waits(Sheet.Line line, String limit, long deadlineUs) {
         double waitMs = section("limits").path(limit).path("queue").path("waitMs").asDouble(0);
         if (deadlineUs > 0 && waitMs * 1000 >= deadlineUs) {
-            findings.add(draft.grave("M-WAIT", "/limits/" + Draft.escaped(limit) + "/queue/waitMs", "reqs of route "
+            findings.add(Draft.grave("M-WAIT", "/limits/" + Draft.escaped(limit) + "/queue/waitMs", "reqs of route "
                 + line.name() + " would wait for " + (long) waitMs + " ms, and their time is up after " + deadlineUs / 1000,
                 "wait for less, or give that route another limit"));
         }
@@ -237,7 +235,7 @@
         String method = terms.repeat() == Route.Repeat.RETRIABLE ? "GET" : "POST";
         Set<String> methods = line.match().methods();
         if (!methods.isEmpty() && !methods.contains(method)) {
-            findings.add(draft.grave("M-METHOD", at(line, "methods"), "reqs of class " + line.className() + " come by "
+            findings.add(Draft.grave("M-METHOD", at(line, "methods"), "reqs of class " + line.className() + " come by "
                 + method + " only, so no req of this route is ever taken", "name " + method + ", or another class"));
         }
     }
@@ -271,7 +269,7 @@
     private void retrying(Sheet.Line line, String retries, String pointer, String way) {
         JsonNode node = section("retries").path(retries);
         if (!node.isMissingNode() && Compiler.retries(retries, node).mayRunTwice()) {
-            findings.add(draft.grave("M-ONCE", pointer, "route " + line.name() + " is of the non-retriable class "
+            findings.add(Draft.grave("M-ONCE", pointer, "route " + line.name() + " is of the non-retriable class "
                 + line.className() + " and reaches the policy " + retries + " " + way + ", which tries again what may have run",
                 "give the route a policy of its own with tries 1, or with after turned-away and not-connected only"));
         }
@@ -294,7 +292,7 @@
             || grounds.zones().size() <= 1 && terms.group() == Route.Group.ZONE;
         boolean single = terms.group() == Route.Group.CELL && chain.size() <= 1;
         if (!zoned && !single) {
-            findings.add(draft.grave("M-GROUP", at(line, "pool"), "route " + line.name() + " is of the deduped class "
+            findings.add(Draft.grave("M-GROUP", at(line, "pool"), "route " + line.name() + " is of the deduped class "
                 + line.className() + ", whose repeats one " + (terms.group() == Route.Group.ZONE ? "zone" : "cell")
                 + " remembers, and its pools " + (any && chain.isEmpty() ? "(none is named: all units)" : chain.toString())
                 + " reach more than one",
@@ -313,11 +311,11 @@
             int[] looked = new int[1];
             int by = table.firstAlong(match.segments(), (p, m) -> p < place && looked[0]++ < LOOKED_AT && m.covers(match));
             if (by >= 0 && by < place) {
-                findings.add(draft.grave("M-SHADOWED", real.get(i).pointer(), "no req ever meets route "
+                findings.add(Draft.grave("M-SHADOWED", real.get(i).pointer(), "no req ever meets route "
                     + real.get(i).name() + ": all of its go to route " + real.get(by).name() + " before it",
                     "put it before that one, or take it out"));
             } else if (looked[0] >= LOOKED_AT) {
-                findings.add(draft.warning("M-UNCHECKED", real.get(i).pointer(), "whether an earlier route shadows "
+                findings.add(Draft.warning("M-UNCHECKED", real.get(i).pointer(), "whether an earlier route shadows "
                     + real.get(i).name() + " was not checked: too many share its path", "part them by path"));
             }
         }
@@ -328,7 +326,7 @@
         for (int i = 0; i < removes.size(); i++) {
             Sheet.Line line = sheet.line(removes.get(i).asText());
             if (line != null && !line.isAbstract()) {
-                findings.add(draft.grave("M-REMOVES", "/removes/" + i, "route " + line.name()
+                findings.add(Draft.grave("M-REMOVES", "/removes/" + i, "route " + line.name()
                     + " is said to be gone and is there", "take it out of removes, or out of routes"));
             }
         }
@@ -340,7 +338,7 @@
             for (Iterator<String> names = section(section).fieldNames(); names.hasNext(); ) {
                 String name = names.next();
                 if (!used.contains(section + "/" + name)) {
-                    findings.add(draft.warning("M-UNUSED", "/" + section + "/" + Draft.escaped(name), "no route uses this "
+                    findings.add(Draft.warning("M-UNUSED", "/" + section + "/" + Draft.escaped(name), "no route uses this "
                         + sections.get(section), "take it out, or name it where it was meant"));
                 }
             }
--- a/src/main/java/gatelock/plan/Compiler.java
+++ b/src/main/java/gatelock/plan/Compiler.java
@@ -33,6 +33,10 @@
         }
     }
 
+    /** Stands for a version on which the program itself failed. */
+    public static final Compiled FAILED = new Compiled(null, List.of(new Finding("G-INTERNAL", true, "", 0, 0,
+        "the checker failed on it", "report it with the text and the log")));
+
     /** Reads, checks and compiles a text that claims to be that version. */
     public Compiled compile(Stamp.Epoch epoch, long number, byte[] text) {
         List<Finding> findings = new ArrayList<>();
@@ -42,13 +46,14 @@
         }
         Plan plan = null;
         if (draft != null && findings.stream().noneMatch(Finding::grave)) {
-            Sheet sheet = new Sheet(draft, grounds);
+            Sheet sheet = new Sheet(draft);
             Checks.check(sheet, grounds, findings);
             if (findings.stream().noneMatch(Finding::grave)) {
                 plan = plan(new Stamp(epoch, number, Stamp.hash(text)), sheet);
             }
         }
-        return new Compiled(plan, fewer(findings));
+        List<Finding> told = fewer(findings);
+        return new Compiled(plan, draft == null ? told : draft.placed(told));
     }
 
     private static List<Finding> fewer(List<Finding> findings) {
--- a/src/main/java/gatelock/plan/Draft.java
+++ b/src/main/java/gatelock/plan/Draft.java
@@ -17,7 +17,10 @@
 import java.util.List;
 import java.util.Map;
 
-/** A text read as JSON, with the place in the text at which each value stands. */
+/**
+ * A text read as JSON. Where a value stands in the text is looked up only for findings, in one more pass: to keep all
+ * places took more memory than all else of a large version.
+ */
 public final class Draft {
     private static final int DEEPEST = 64;
     private static final JsonFactory JSON = JsonFactory.builder().streamReadConstraints(StreamReadConstraints.builder()
@@ -26,22 +29,19 @@
 
     private final byte[] text;
     private final JsonNode root;
-    private final Map<String, int[]> places;
 
-    private Draft(byte[] text, JsonNode root, Map<String, int[]> places) {
+    private Draft(byte[] text, JsonNode root) {
         this.text = text;
         this.root = root;
-        this.places = places;
     }
 
     /** Reads a text; adds a finding and gives null where it is no JSON, or says something twice. */
     public static Draft read(byte[] text, List<Finding> findings) {
-        Map<String, int[]> places = new HashMap<>();
         try (JsonParser parser = JSON.createParser(new String(text, StandardCharsets.UTF_8))) {
             parser.nextToken();
-            JsonNode root = parser.currentToken() == null ? null : value(parser, "", places);
+            JsonNode root = parser.currentToken() == null ? null : value(parser);
             if (root instanceof ObjectNode && parser.nextToken() == null) {
-                return new Draft(text, root, places);
+                return new Draft(text, root);
             }
             JsonLocation at = parser.currentTokenLocation();
             findings.add(new Finding("G-FORM", true, "", at.getLineNr(), at.getColumnNr(),
@@ -57,23 +57,21 @@
         return null;
     }
 
-    private static JsonNode value(JsonParser parser, String pointer, Map<String, int[]> places) throws IOException {
-        JsonLocation at = parser.currentTokenLocation();
-        places.put(pointer, new int[] {at.getLineNr(), at.getColumnNr()});
+    private static JsonNode value(JsonParser parser) throws IOException {
         switch (parser.currentToken()) {
             case START_OBJECT -> {
                 ObjectNode object = JsonNodeFactory.instance.objectNode();
                 while (parser.nextToken() != JsonToken.END_OBJECT) {
                     String name = parser.currentName();
                     parser.nextToken();
-                    object.set(name, value(parser, pointer + "/" + escaped(name), places));
+                    object.set(name, value(parser));
                 }
                 return object;
             }
             case START_ARRAY -> {
                 ArrayNode array = JsonNodeFactory.instance.arrayNode();
                 while (parser.nextToken() != JsonToken.END_ARRAY) {
-                    array.add(value(parser, pointer + "/" + array.size(), places));
+                    array.add(value(parser));
                 }
                 return array;
             }
@@ -108,21 +106,57 @@
         return root;
     }
 
-    /** A grave finding at a place, or at the nearest place above it that stands in the text. */
-    Finding grave(String code, String pointer, String wrong, String mend) {
-        return finding(code, true, pointer, wrong, mend);
+    static Finding grave(String code, String pointer, String wrong, String mend) {
+        return new Finding(code, true, pointer, 0, 0, wrong, mend);
+    }
+
+    static Finding warning(String code, String pointer, String wrong, String mend) {
+        return new Finding(code, false, pointer, 0, 0, wrong, mend);
     }
 
-    Finding warning(String code, String pointer, String wrong, String mend) {
-        return finding(code, false, pointer, wrong, mend);
+    /** The same findings with the line and column of each, or of the nearest place above it that stands in the text. */
+    public List<Finding> placed(List<Finding> findings) {
+        Map<String, int[]> wanted = new HashMap<>();
+        for (Finding f : findings) {
+            for (String p = f.pointer(); !p.isEmpty(); p = p.substring(0, p.lastIndexOf('/'))) {
+                wanted.put(p, null);
+            }
+        }
+        wanted.put("", null);
+        try (JsonParser parser = JSON.createParser(new String(text, StandardCharsets.UTF_8))) {
+            parser.nextToken();
+            look(parser, "", wanted);
+        } catch (IOException e) {
+            throw new IllegalStateException("it could be read before", e);
+        }
+        return findings.stream().map(f -> {
+            String near = f.pointer();
+            while (wanted.get(near) == null) {
+                near = near.substring(0, near.lastIndexOf('/'));
+            }
+            int[] at = wanted.get(near);
+            return new Finding(f.code(), f.grave(), f.pointer(), at[0], at[1], f.wrong(), f.mend());
+        }).toList();
     }
 
-    private Finding finding(String code, boolean grave, String pointer, String wrong, String mend) {
-        String near = pointer;
-        while (!places.containsKey(near) && !near.isEmpty()) {
-            near = near.substring(0, near.lastIndexOf('/'));
+    /** Notes where wanted values stand; whatever holds none of them is passed over. */
+    private static void look(JsonParser parser, String pointer, Map<String, int[]> wanted) throws IOException {
+        if (!wanted.containsKey(pointer)) {
+            parser.skipChildren();
+            return;
+        }
+        JsonLocation at = parser.currentTokenLocation();
+        wanted.put(pointer, new int[] {at.getLineNr(), at.getColumnNr()});
+        if (parser.currentToken() == JsonToken.START_OBJECT) {
+            while (parser.nextToken() != JsonToken.END_OBJECT) {
+                String name = parser.currentName();
+                parser.nextToken();
+                look(parser, pointer + "/" + escaped(name), wanted);
+            }
+        } else if (parser.currentToken() == JsonToken.START_ARRAY) {
+            for (int i = 0; parser.nextToken() != JsonToken.END_ARRAY; i++) {
+                look(parser, pointer + "/" + i, wanted);
+            }
         }
-        int[] at = places.getOrDefault(near, new int[2]);
-        return new Finding(code, grave, pointer, at[0], at[1], wrong, mend);
     }
 }
--- a/src/main/java/gatelock/plan/Form.java
+++ b/src/main/java/gatelock/plan/Form.java
@@ -41,7 +41,7 @@
                 pointer = keyword.equals("additionalProperties") ? pointer + "/" + Draft.escaped(error.getProperty())
                     : pointer;
             }
-            findings.add(draft.grave("S-" + keyword.toUpperCase(Locale.ROOT), pointer, error.getMessage(),
+            findings.add(Draft.grave("S-" + keyword.toUpperCase(Locale.ROOT), pointer, error.getMessage(),
                 mend(keyword, error)));
         }
     }
--- a/src/main/java/gatelock/plan/Sheet.java
+++ b/src/main/java/gatelock/plan/Sheet.java
@@ -17,7 +17,7 @@
     private final List<Line> lines = new ArrayList<>();
     private final Map<String, Line> byName = new HashMap<>();
 
-    Sheet(Draft draft, Grounds grounds) {
+    Sheet(Draft draft) {
         this.draft = draft;
         JsonNode routes = draft.root().path("routes");
         for (int i = 0; i < routes.size(); i++) {
@@ -28,10 +28,6 @@
         }
     }
 
-    Draft draft() {
-        return draft;
-    }
-
     JsonNode root() {
         return draft.root();
     }
--- a/src/main/java/gatelock/wire/AnswerReader.java
+++ b/src/main/java/gatelock/wire/AnswerReader.java
@@ -197,7 +197,10 @@
         boolean form = text.length() <= 12 && !text.isEmpty()
             && text.chars().allMatch(c -> c < 128 && Character.digit(c, radix) >= 0);
         long found = form ? Long.parseLong(text, radix) : -1;
-        if (found < 0 || parts == null && found > mostBody) {
+        if (parts == null && found > mostBody) {
+            throw new UnreadableAnswer("body of " + found + " bytes is longer than " + mostBody);
+        }
+        if (found < 0) {
             throw new UnreadableAnswer("expected a length, found " + text);
         }
         return found;
--- a/src/main/java/gatelock/wire/Line.java
+++ b/src/main/java/gatelock/wire/Line.java
@@ -29,6 +29,10 @@
         /** No whole, readable answer came; {@code written}: the last byte of the call was written before. */
         void broken(boolean written);
 
+        /** The answer can't be read, for this reason; {@link #broken} follows. */
+        default void unreadable(String why) {
+        }
+
         /** The time for the call was over first, and it was given up. */
         default void late() {
         }
@@ -146,6 +150,9 @@
             }
         } catch (UnreadableAnswer e) {
             home.unreadable(address, e);
+            if (user != null) {
+                user.unreadable(e.getMessage());
+            }
             end();
         } catch (IOException e) {
             end();
--- a/src/main/java/gatelock/wire/Turn.java
+++ b/src/main/java/gatelock/wire/Turn.java
@@ -43,17 +43,19 @@
     }
 
     /**
-     * Does slow work on the worker's one task thread, and then what is to follow here. What the work throws is told to
-     * nobody but the log: whoever must hear of it catches it.
+     * Does slow work on the worker's one task thread, and then what is to follow here, in any case: where the work
+     * throws, with what stands for its failure.
      */
-    public <T> void aside(Supplier<T> slow, Consumer<T> then) {
+    public <T> void aside(Supplier<T> slow, T otherwise, Consumer<T> then) {
         thread.getWorker().execute(() -> {
+            T done = otherwise;
             try {
-                T done = slow.get();
-                soon(() -> then.accept(done));
+                done = slow.get();
             } catch (RuntimeException | Error e) {
                 unexpected(e);
             }
+            T told = done;
+            soon(() -> then.accept(told));
         });
     }
 
--- a/src/test/java/gatelock/StandIns.java
+++ b/src/test/java/gatelock/StandIns.java
@@ -98,9 +98,7 @@
     private final Path log = Files.createTempFile("gatelock", ".log");
 
     StandIns() throws IOException {
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            port = free.getLocalPort();
-        }
+        port = freePort();
         config = Files.createTempFile("gatelock", ".json");
         String text = Files.readString(Path.of("examples/relay.json"));
         for (Map.Entry<String, String> e : Map.of("127.0.0.1:8480", "127.0.0.1:" + port, "127.0.0.1:8481",
@@ -131,14 +129,25 @@
         throw new AssertionError("not ready: " + log());
     }
 
+    static int freePort() throws IOException {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return free.getLocalPort();
+        }
+    }
+
     Process program(String config, String... words) throws IOException {
+        ProcessBuilder b = java(words).redirectErrorStream(true).redirectOutput(log.toFile());
+        b.environment().put("PROXY_CONFIG", config);
+        return b.start();
+    }
+
+    /** The program with these words, not started yet. */
+    static ProcessBuilder java(String... words) {
         List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
             "-ea", "-Xmx64m", "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
             "gatelock.boot.Main"));
         command.addAll(List.of(words));
-        ProcessBuilder b = new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(log.toFile());
-        b.environment().put("PROXY_CONFIG", config);
-        return b.start();
+        return new ProcessBuilder(command);
     }
 
     String log() throws IOException {
@@ -204,6 +213,19 @@
         return new Came(socket, came.head, new String(body, StandardCharsets.ISO_8859_1));
     }
 
+    /** The answer that comes first on any of some connections. */
+    Came first(List<Socket> clients) throws Exception {
+        for (int i = 0; i < 20_000; i++) {
+            for (Socket client : clients) {
+                if (client.getInputStream().available() > 0) {
+                    return read(client);
+                }
+            }
+            Thread.sleep(1);
+        }
+        throw new AssertionError("no answer came");
+    }
+
     static void go(Work work) {
         Thread thread = new Thread(() -> {
             try {
--- /dev/null
+++ b/src/test/java/gatelock/boot/CommandsTest.java
@@ -0,0 +1,104 @@
+package gatelock.boot;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.jr.ob.JSON;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The command line on files: what it says and how it ends. */
+final class CommandsTest {
+    private static final String SOUND = """
+        {"format": 1, "limits": {"few": {"per": "tenant", "ratePerS": 5, "queue": {"length": 3, "waitMs": 50}}},
+         "routes": [{"name": "reads", "path": "/read", "class": "read", "limits": ["few"]}]}
+        """;
+
+    @TempDir
+    private Path directory;
+    private final StringWriter out = new StringWriter();
+    private final StringWriter err = new StringWriter();
+
+    private int run(String... args) {
+        out.getBuffer().setLength(0);
+        err.getBuffer().setLength(0);
+        return Commands.run(new PrintWriter(out), new PrintWriter(err), args);
+    }
+
+    private String file(String name, String text) throws IOException {
+        return Files.writeString(directory.resolve(name), text).toString();
+    }
+
+    @Test
+    void checkTellsAllFindingsWithTheirPlaceAndEndsWithOneForThem() throws IOException {
+        String sound = file("sound.json", SOUND);
+        assertThat(run("check", sound, "--deployment", "examples/relay.json")).isZero();
+        assertThat(out.toString()).contains("good, 1 routes");
+        String broken = file("broken.json", SOUND.replace("\"read\"", "\"reed\"").replace("5,", "0,"));
+        assertThat(run("check", broken, "--deployment", "examples/relay.json")).isEqualTo(1);
+        assertThat(out.toString()).contains(broken + ":1:63 /limits/few/ratePerS M-ZERO", broken + ":2:57 /routes/0/class M-CLASS",
+            "would be turned down");
+        assertThat(run("check", broken, "--deployment", "examples/relay.json", "--json")).isEqualTo(1);
+        Map<String, Object> said = JSON.std.mapFrom(out.toString());
+        assertThat(said).containsEntry("good", false);
+        assertThat(said.get("findings").toString()).contains("M-ZERO", "M-CLASS");
+    }
+
+    @Test
+    void whatCantBeUsedEndsWithTwoAndOneLine() throws IOException {
+        String sound = file("sound.json", SOUND);
+        String[][] odd = {{"check", "none.json", "--deployment", "examples/relay.json"},
+            {"check", sound, "--deployment", "none.json"}, {"nothing"}, {"schema", "none"}, {"serve", "warm"},
+            {"diff", sound, file("odd.json", "{"), "--deployment", "examples/relay.json"},
+            {"status", "--at", "127.0.0.1:1"}};
+        for (String[] args : odd) {
+            assertThat(run(args)).as(String.join(" ", args)).isEqualTo(2);
+            assertThat(err.toString()).isNotBlank().doesNotContain("at gatelock");
+        }
+    }
+
+    @Test
+    void diffAndExplainSpeakOfReqs() throws IOException {
+        String sound = file("sound.json", SOUND);
+        String other = file("other.json", SOUND.replace("\"ratePerS\": 5", "\"ratePerS\": 6"));
+        assertThat(run("diff", sound, sound, "--deployment", "examples/relay.json")).isZero();
+        assertThat(run("diff", sound, other, "--deployment", "examples/relay.json")).isEqualTo(1);
+        assertThat(out.toString()).contains("route reads: limits [few: per tenant, 6 reqs a second, 6 at once, 3 may wait for 50 ms]");
+        assertThat(run("explain", sound, "--deployment", "examples/relay.json", "--path", "/read/x", "--header", "X-A=1"))
+            .isZero();
+        assertThat(out.toString()).contains("route: reads", "class: read", "pools: all units");
+        assertThat(run("explain", sound, "--deployment", "examples/relay.json", "--path", "/a/../read")).isEqualTo(1);
+        assertThat(out.toString()).contains("400");
+    }
+
+    @Test
+    void schemasAndHelpAreThere() throws IOException {
+        for (String which : new String[] {"plan", "operator"}) {
+            assertThat(run("schema", which)).isZero();
+            assertThat(JSON.std.mapFrom(out.toString())).containsKey("$schema");
+        }
+        for (String command : new String[] {"serve", "check", "diff", "explain", "schema", "status", "history", "back", "release"}) {
+            assertThat(run(command, "--help")).as(command).isZero();
+            assertThat(out.toString()).contains("gatelock " + command);
+        }
+    }
+
+    @Test
+    void anOperatorsFileIsCheckedAsAVersionIs() throws IOException {
+        for (String[] odd : new String[][] {{"{\"listener\": \"10.0.0.1:80\"}", "O-LISTENER"}, {"{\"control\": {}}", "S-REQUIRED"},
+                {"{\"control\": {\"services\": [\"127.0.0.1:99999\"]}}", "O-ADDRESS"}, {"{\"log\": {\"form\": \"xml\"}}", "S-ENUM"},
+                {"{\"lisener\": \"127.0.0.1:80\"}", "S-ADDITIONALPROPERTIES"}, {"{", "G-JSON"}}) {
+            Path file = Path.of(file("operator.json", odd[0]));
+            assertThat(org.assertj.core.api.Assertions.catchThrowable(() -> Operator.read(file))).as(odd[0])
+                .isInstanceOf(IOException.class).hasMessageContaining(file + ":").hasMessageContaining(odd[1]);
+        }
+        assertThat(Operator.read(Path.of("deploy/operator.json")).control()).isNotNull();
+    }
+}
--- a/src/test/java/gatelock/standin/ControlService.java
+++ b/src/test/java/gatelock/standin/ControlService.java
@@ -95,7 +95,7 @@
 
     /** The next call that told what came of a version. */
     public Map<String, Object> report() throws InterruptedException {
-        Map<String, Object> report = reports.poll(60, TimeUnit.SECONDS);
+        Map<String, Object> report = reports.poll(20, TimeUnit.SECONDS);
         if (report == null) {
             throw new AssertionError("no relay told anything");
         }
