--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo test lint run measure-plan
+.PHONY: build demo test lint run measure-plan measure-swarm
 
 build:
 	mvn -B -q -DskipTests package
@@ -23,3 +23,8 @@
 measure-plan:
 	mvn -B -q -DskipTests package dependency:build-classpath -Dmdep.outputFile=target/test.classpath
 	java -Xmx1g -cp "target/classes:target/test-classes:$$(cat target/test.classpath)" gatelock.plan.PlanMeasure
+
+# Service while 200 versions a second come, against none.
+measure-swarm:
+	mvn -B -q -DskipTests package dependency:build-classpath -Dmdep.outputFile=target/test.classpath
+	java -cp "target/classes:target/test-classes:$$(cat target/test.classpath)" gatelock.standin.SwarmMeasure
--- a/src/main/java/gatelock/plan/Admission.java
+++ b/src/main/java/gatelock/plan/Admission.java
@@ -7,11 +7,9 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.TreeMap;
 
 /**
@@ -236,11 +234,9 @@
                     + " is gone, and had reqs in the last minute", "name it under removes, or put it back"));
             }
         }
-        Set<String> now = muster.reached(plan);
-        Set<String> dropped = new HashSet<>(now);
-        dropped.removeAll(muster.reached(next));
-        if (dropped.size() > mostDropped * now.size()) {
-            findings.add(new Finding("B-UNITS", true, "/pools", 0, 0, dropped.size() + " of " + now.size()
+        int[] units = muster.reachedAndNot(plan, next);
+        if (units[1] > mostDropped * units[0]) {
+            findings.add(new Finding("B-UNITS", true, "/pools", 0, 0, units[1] + " of " + units[0]
                 + " units that routes reach would get no reqs any more", "do it in steps of less than "
                 + Math.round(mostDropped * 100) + "%, or mend the pools"));
         }
@@ -253,11 +249,8 @@
         muster.follow(nowUs, next);
         limits.follow(nowUs, next.limits());
         traffic.keySet().removeIf(n -> !next.entries().containsKey(n));
-        Set<String> policies = new HashSet<>();
-        next.entries().values().forEach(e -> next.chain(e.pool()).forEach(p -> policies.add(next.retries(e, p).name())));
-        next.entries().values().forEach(e -> policies.add(next.retries(e, null).name()));
         // Those still held by reqs of the version before go on there until these end.
-        budgets.keySet().retainAll(policies);
+        budgets.keySet().retainAll(next.policies());
     }
 
     /** For the operator: what waits, what is in flight by limit, which pools serve in place of others. */
--- a/src/main/java/gatelock/plan/Muster.java
+++ b/src/main/java/gatelock/plan/Muster.java
@@ -4,16 +4,17 @@
 import gatelock.relay.Listed;
 
 import java.util.BitSet;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
 /**
- * Which units stand in which pool of the plan in force, and which pool serves in place of another. Kept up as lists and
- * versions come, so that a req asks one bit of a unit.
+ * Which units stand in which pool of the plan in force, and which pool serves in place of another. Units are kept by their
+ * sort, which is all that a pool can choose by: a new plan costs as much as there are sorts times ways to choose, whatever the
+ * number of units, routes and pools.
  */
 final class Muster {
     /** How long it takes until a pool that lost units for good is measured by those it has. */
@@ -21,29 +22,58 @@
     /** Back from a fallback only with so many times the least share: no swinging at the bound. */
     private static final double BACK_AT = 1.1;
 
-    private final Map<String, Listed> units = new HashMap<>();
-    private final Map<String, Map<String, String>> labels = new HashMap<>();
+    private final Map<String, Member> units = new HashMap<>();
+    private final Map<Sort, Sort> sorts = new HashMap<>();
     private Map<String, Stand> stands = Map.of();
-    private Map<String, BitSet> pools = new HashMap<>();
+    private int[] ready = new int[0];
     private Plan plan;
 
+    /** Units alike in all that a pool can choose by. */
+    private static final class Sort {
+        private final int zone;
+        private final int kind;
+        private final Map<String, String> labels;
+        private int units;
+        private int ready;
+        /** The selectors of the plan in force that choose them. */
+        private BitSet chosenBy = new BitSet();
+
+        Sort(int zone, int kind, Map<String, String> labels) {
+            this.zone = zone;
+            this.kind = kind;
+            this.labels = labels;
+        }
+
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof Sort s && zone == s.zone && kind == s.kind && labels.equals(s.labels);
+        }
+
+        @Override
+        public int hashCode() {
+            return 31 * (31 * zone + kind) + labels.hashCode();
+        }
+    }
+
+    private record Member(Sort sort, boolean ready) {
+    }
+
     /** One pool now. */
     private static final class Stand {
         private final Pool pool;
-        private final int bit;
-        private int ready;
+        private final int selector;
         /** What it lately had, fading to what it has. */
         private double usual;
         private long usualAtUs;
         private boolean fallen;
 
-        Stand(Pool pool, int bit) {
+        Stand(Pool pool, int selector) {
             this.pool = pool;
-            this.bit = bit;
+            this.selector = selector;
         }
 
         /** Updates and tells how many units it lately had. */
-        double usual(long nowUs) {
+        double usual(long nowUs, int ready) {
             double fade = nowUs > usualAtUs ? Math.exp((usualAtUs - nowUs) / MEMORY_US) : 1;
             usual = Math.max(ready, ready + (usual - ready) * fade);
             usualAtUs = nowUs;
@@ -56,123 +86,135 @@
         if (form == Gate.ListForm.FAILED) {
             return;
         }
+        // What each pool has had until now is noted before it changes.
+        stands.values().forEach(s -> s.usual(nowUs, ready[s.selector]));
         if (form != Gate.ListForm.DELTA) {
             Set<String> named = new HashSet<>();
             entries.forEach(l -> named.add(l.unit()));
-            List.copyOf(units.keySet()).stream().filter(u -> !named.contains(u)).forEach(u -> drop(nowUs, u));
+            for (Iterator<Map.Entry<String, Member>> all = units.entrySet().iterator(); all.hasNext(); ) {
+                Map.Entry<String, Member> e = all.next();
+                if (!named.contains(e.getKey())) {
+                    all.remove();
+                    count(e.getValue(), -1);
+                }
+            }
         }
         for (Listed l : entries) {
-            drop(nowUs, l.unit());
+            Member was = units.remove(l.unit());
+            if (was != null) {
+                count(was, -1);
+            }
             if (l.health() != Listed.Health.GONE) {
-                units.put(l.unit(), l);
-                labels.put(l.unit(), borne.getOrDefault(l.unit(), Map.of()));
-                enter(nowUs, l);
+                Sort sort = sort(new Sort(l.zone(), l.kind(), borne.getOrDefault(l.unit(), Map.of())));
+                Member is = new Member(sort, l.health() == Listed.Health.READY);
+                units.put(l.unit(), is);
+                count(is, 1);
             }
         }
+        sorts.keySet().removeIf(s -> s.units == 0);
     }
 
-    private void drop(long nowUs, String unit) {
-        Listed was = units.remove(unit);
-        BitSet in = pools.remove(unit);
-        labels.remove(unit);
-        if (was != null && was.health() == Listed.Health.READY && in != null) {
-            stands.values().stream().filter(s -> in.get(s.bit)).forEach(s -> {
-                s.usual(nowUs);
-                s.ready--;
-            });
+    private Sort sort(Sort like) {
+        Sort sort = sorts.get(like);
+        if (sort == null) {
+            sort = like;
+            sorts.put(sort, sort);
+            choose(sort);
         }
+        return sort;
     }
 
-    private void enter(long nowUs, Listed l) {
-        BitSet in = new BitSet(stands.size());
-        for (Stand s : stands.values()) {
-            if (s.pool.selects(l.zone(), l.kind(), labels.get(l.unit()))) {
-                in.set(s.bit);
-                if (l.health() == Listed.Health.READY) {
-                    s.usual(nowUs);
-                    s.ready++;
-                }
+    private void choose(Sort sort) {
+        sort.chosenBy = new BitSet();
+        for (int i = 0; plan != null && i < plan.selectors().size(); i++) {
+            sort.chosenBy.set(i, plan.selectors().get(i).selects(sort.zone, sort.kind, sort.labels));
+        }
+    }
+
+    private void count(Member member, int by) {
+        member.sort.units += by;
+        if (member.ready) {
+            member.sort.ready += by;
+            for (int i = member.sort.chosenBy.nextSetBit(0); i >= 0; i = member.sort.chosenBy.nextSetBit(i + 1)) {
+                ready[i] += by;
             }
         }
-        pools.put(l.unit(), in);
     }
 
-    /** Another plan is in force; a pool of a name that stays keeps what it lately had. */
+    /** Another plan is in force; a pool that stays as it was keeps what it lately had. */
     void follow(long nowUs, Plan next) {
         Map<String, Stand> before = stands;
-        stands = new HashMap<>();
-        pools = new HashMap<>();
+        int[] readyBefore = ready;
         plan = next;
-        if (next != null) {
-            next.pools().values().forEach(p -> stands.put(p.name(), new Stand(p, stands.size())));
-        }
-        units.values().forEach(l -> enter(nowUs, l));
-        stands.values().forEach(s -> {
-            Stand was = before.get(s.pool.name());
-            if (was != null && was.pool.equals(s.pool)) {
-                s.usual = was.usual(nowUs);
-                s.usualAtUs = nowUs;
-                s.fallen = was.fallen;
+        ready = new int[next.selectors().size()];
+        for (Sort sort : sorts.values()) {
+            choose(sort);
+            for (int i = sort.chosenBy.nextSetBit(0); i >= 0; i = sort.chosenBy.nextSetBit(i + 1)) {
+                ready[i] += sort.ready;
+            }
+        }
+        stands = new HashMap<>();
+        for (Pool pool : next.pools().values()) {
+            Stand is = new Stand(pool, next.selector(pool));
+            Stand was = before.get(pool.name());
+            if (was != null && was.pool.equals(pool)) {
+                is.usual = was.usual(nowUs, readyBefore[was.selector]);
+                is.usualAtUs = nowUs;
+                is.fallen = was.fallen;
             }
-        });
+            stands.put(pool.name(), is);
+        }
     }
 
     /** The pool that serves in place of this one now: itself, or the first fallback that has units enough. */
     String serving(long nowUs, String pool) {
-        for (String name : plan.chain(pool)) {
+        List<String> chain = plan.chain(pool);
+        for (String name : chain) {
             Stand s = stands.get(name);
-            double least = s.pool.leastShare() * s.usual(nowUs);
-            s.fallen = s.ready == 0 || s.ready < (s.fallen ? Math.min(s.usual, least * BACK_AT) : least);
+            double least = s.pool.leastShare() * s.usual(nowUs, ready[s.selector]);
+            s.fallen = ready[s.selector] == 0
+                || ready[s.selector] < (s.fallen ? Math.min(s.usual, least * BACK_AT) : least);
             if (!s.fallen) {
                 return name;
             }
         }
-        // None has enough: what little the pool itself has, or else the last resort that has any.
-        return plan.chain(pool).stream().filter(n -> stands.get(n).ready > 0).findFirst().orElse(pool);
+        // None has enough: what little the pool itself has, or else the first of the others that has any.
+        for (String name : chain) {
+            if (ready(name) > 0) {
+                return name;
+            }
+        }
+        return pool;
     }
 
+    /** Whether a unit stands in a pool of the plan in force. */
     boolean stands(String pool, String unit) {
-        BitSet in = pools.get(unit);
+        Member member = units.get(unit);
         Stand s = stands.get(pool);
-        return in != null && s != null && in.get(s.bit);
+        return member != null && s != null && member.sort.chosenBy.get(s.selector);
     }
 
     /** The same of a pool whose plan is in force no more. */
     boolean selects(Pool pool, String unit) {
-        Listed l = units.get(unit);
-        return l != null && pool.selects(l.zone(), l.kind(), labels.get(unit));
+        Member member = units.get(unit);
+        return member != null && pool.selects(member.sort.zone, member.sort.kind, member.sort.labels);
     }
 
     int ready(String pool) {
-        return stands.containsKey(pool) ? stands.get(pool).ready : 0;
+        Stand s = stands.get(pool);
+        return s == null ? 0 : ready[s.selector];
     }
 
-    /** Ready units that a plan's routes can reach, by their pools and fallbacks; a route without a pool reaches all. */
-    Set<String> reached(Plan by) {
-        Set<String> served = new HashSet<>();
-        for (Entry e : by.entries().values()) {
-            if (e.pool() == null) {
-                return ready();
-            }
-            served.addAll(by.chain(e.pool()));
-        }
-        if (!by.refusesUnmatched()) {
-            return ready();
-        }
-        Collection<Pool> all = served.stream().map(by.pools()::get).toList();
-        Set<String> reached = new HashSet<>();
-        for (Listed l : units.values()) {
-            if (l.health() == Listed.Health.READY
-                    && all.stream().anyMatch(p -> p.selects(l.zone(), l.kind(), labels.get(l.unit())))) {
-                reached.add(l.unit());
+    /** Ready units that a plan's routes can reach, and of these, how many another's can not. */
+    int[] reachedAndNot(Plan by, Plan other) {
+        int reached = 0;
+        int not = 0;
+        for (Sort sort : sorts.values()) {
+            if (by.reaches(sort.zone, sort.kind, sort.labels)) {
+                reached += sort.ready;
+                not += other.reaches(sort.zone, sort.kind, sort.labels) ? 0 : sort.ready;
             }
         }
-        return reached;
-    }
-
-    Set<String> ready() {
-        Set<String> ready = new HashSet<>();
-        units.values().stream().filter(l -> l.health() == Listed.Health.READY).forEach(l -> ready.add(l.unit()));
-        return ready;
+        return new int[] {reached, not};
     }
 }
--- a/src/main/java/gatelock/plan/Plan.java
+++ b/src/main/java/gatelock/plan/Plan.java
@@ -2,9 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** A version made ready for use. It never changes; a req ends under the one that took it. */
 public final class Plan {
@@ -20,6 +23,13 @@
     private final Collection<String> removes;
     private final List<Entry> byPlace;
     private final Table<Entry> table;
+    private final Map<String, List<String>> chains = new HashMap<>();
+    /** Ways to choose units that differ; many pools may share one. */
+    private final List<Pool> selectors = new ArrayList<>();
+    private final Map<String, Integer> selectorOf = new HashMap<>();
+    private final List<Pool> reaching = new ArrayList<>();
+    private final boolean reachesAll;
+    private final Set<String> policies = new HashSet<>();
 
     Plan(Stamp stamp, String by, String note, boolean refusesUnmatched, List<Entry> routes, Map<String, Pool> pools,
          Map<String, Retries> poolRetries, Retries defaultRetries, Map<String, Limit> limits,
@@ -40,6 +50,27 @@
             matches.add(e.match());
         }
         table = new Table<>(matches, routes);
+        Map<Pool, Integer> alike = new HashMap<>();
+        pools.values().forEach(p -> {
+            chains.put(p.name(), chainFrom(p.name()));
+            selectorOf.put(p.name(), alike.computeIfAbsent(p.bare(), b -> {
+                selectors.add(b);
+                return selectors.size() - 1;
+            }));
+        });
+        Set<String> reachingPools = new HashSet<>();
+        boolean all = !refusesUnmatched;
+        for (Entry e : routes) {
+            all |= e.pool() == null;
+            policies.add(retries(e, null).name());
+            for (String pool : chain(e.pool())) {
+                reachingPools.add(pool);
+                policies.add(retries(e, pool).name());
+            }
+        }
+        reachesAll = all;
+        Set<Integer> seen = new HashSet<>();
+        reachingPools.stream().sorted().map(selectorOf::get).filter(seen::add).forEach(i -> reaching.add(selectors.get(i)));
     }
 
     public Stamp stamp() {
@@ -98,8 +129,32 @@
         return entry.retries() != null ? entry.retries() : poolRetries.getOrDefault(pool, defaultRetries);
     }
 
-    /** A pool and all that may serve in its place, in order. */
+    /** Ways to choose units that differ, as pools without a name. */
+    List<Pool> selectors() {
+        return selectors;
+    }
+
+    /** Which of these a pool chooses by. */
+    int selector(Pool pool) {
+        return selectorOf.get(pool.name());
+    }
+
+    /** Whether some req can reach units of this sort. */
+    boolean reaches(int zone, int kind, Map<String, String> labels) {
+        return reachesAll || reaching.stream().anyMatch(p -> p.selects(zone, kind, labels));
+    }
+
+    /** Names of all policies that some req can come under. */
+    Set<String> policies() {
+        return policies;
+    }
+
+    /** A pool and all that may serve in its place, in order; none for no pool. */
     List<String> chain(String pool) {
+        return pool == null ? List.of() : chains.get(pool);
+    }
+
+    private List<String> chainFrom(String pool) {
         List<String> chain = new ArrayList<>();
         for (String at = pool; at != null && pools.containsKey(at) && !chain.contains(at); at = pools.get(at).fallback()) {
             chain.add(at);
--- a/src/main/java/gatelock/plan/Pool.java
+++ b/src/main/java/gatelock/plan/Pool.java
@@ -15,6 +15,11 @@
 record Pool(String name, Set<Integer> zones, Set<Integer> kinds, Map<String, String> labels, String fallback,
             double leastShare) {
 
+    /** What it chooses by, and nothing else. */
+    Pool bare() {
+        return new Pool("", zones, kinds, labels, null, 0);
+    }
+
     boolean selects(int zone, int kind, Map<String, String> borne) {
         return (zones.isEmpty() || zones.contains(zone)) && (kinds.isEmpty() || kinds.contains(kind))
             && (labels.isEmpty() || borne.entrySet().containsAll(labels.entrySet()));
--- /dev/null
+++ b/src/test/java/gatelock/standin/SwarmMeasure.java
@@ -0,0 +1,145 @@
+package gatelock.standin;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
+
+/**
+ * Measures service through a relay while 200 versions a second come, against none. Not a test: run by
+ * {@code make measure-swarm}. Reqs are sent at set times, 400 a second, and timed from these, so that a stall counts for
+ * all that should have been sent in it.
+ */
+public final class SwarmMeasure {
+    private static final int CLIENTS = 16;
+    private static final int A_SECOND = 400;
+    private static final int SECONDS = 10;
+
+    private SwarmMeasure() {
+    }
+
+    public static void main(String[] args) throws Exception {
+        Path directory = Files.createTempDirectory("gatelock-swarm");
+        int port;
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = free.getLocalPort();
+        }
+        try (Village village = new Village(4); ControlService control = new ControlService()) {
+            Path config = directory.resolve("relay.json");
+            Files.writeString(config, village.configuration(Files.readString(Path.of("examples/relay.json")),
+                "127.0.0.1:" + port));
+            Path operator = directory.resolve("operator.json");
+            Files.writeString(operator, "{\"control\": {\"services\": [\"" + control.address() + "\"], \"holdMs\": 1000}}");
+            control.offer(1, "m", 1, plan(1, 100));
+            ProcessBuilder builder = new ProcessBuilder("java", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xms96m",
+                "-Xmx96m", "-jar", "target/gatelock.jar", "serve", "--operator", operator.toString())
+                .redirectError(directory.resolve("relay.log").toFile());
+            builder.environment().put("PROXY_CONFIG", config.toString());
+            Process relay = builder.start();
+            try {
+                control.report("1/1");
+                TimeUnit.SECONDS.sleep(2);
+                load(port, 5);
+                System.out.println("| versions | reqs | in 250 ms | p50 ms | p99 ms | most ms |");
+                System.out.println("| --- | --- | --- | --- | --- | --- |");
+                say("none", load(port, SECONDS));
+                for (int routes : new int[] {100, 1_000}) {
+                    int at = routes * 1_000;
+                    Thread swarm = new Thread(() -> {
+                        for (int i = 1; !Thread.currentThread().isInterrupted() && i <= SECONDS * 200; i++) {
+                            control.offer(1, "m", at + i, plan(at + i, routes));
+                            try {
+                                Thread.sleep(5);
+                            } catch (InterruptedException e) {
+                                return;
+                            }
+                        }
+                    });
+                    swarm.start();
+                    say("200 a second offered, " + routes + " routes each", load(port, SECONDS));
+                    swarm.join();
+                    long held = 0;
+                    while (held < at + SECONDS * 200) {
+                        held = ((Number) control.report().get("version")).longValue();
+                    }
+                }
+            } finally {
+                relay.destroy();
+                relay.waitFor();
+            }
+        }
+        System.exit(0);
+    }
+
+    private static String plan(int number, int routes) {
+        StringBuilder text = new StringBuilder("{\"format\": 1, \"note\": \"" + number + "\", \"pools\": {\"all\": {}}, \"limits\": "
+            + "{\"l\": {\"ratePerS\": 100000}}, \"routes\": [{\"name\": \"reads\", \"path\": \"/read\", \"class\": \"read\", "
+            + "\"pool\": \"all\", \"limits\": [\"l\"]}");
+        for (int i = 1; i < routes; i++) {
+            text.append(", {\"name\": \"r").append(i).append("\", \"path\": \"/x/").append(i).append("\", \"class\": \"read\"}");
+        }
+        return text.append("]}").toString();
+    }
+
+    private static Histogram load(int port, int seconds) throws InterruptedException {
+        Histogram us = new ConcurrentHistogram(3);
+        List<Thread> clients = new ArrayList<>();
+        long fromNs = System.nanoTime() + 100_000_000;
+        for (int c = 0; c < CLIENTS; c++) {
+            int mine = c;
+            Thread client = new Thread(() -> {
+                try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+                    socket.setTcpNoDelay(true);
+                    for (int i = mine; i < seconds * A_SECOND; i += CLIENTS) {
+                        long dueNs = fromNs + i * 1_000_000_000L / A_SECOND;
+                        for (long now = System.nanoTime(); now < dueNs; now = System.nanoTime()) {
+                            TimeUnit.NANOSECONDS.sleep(dueNs - now);
+                        }
+                        ask(socket, fromNs + "-" + i);
+                        us.recordValue((System.nanoTime() - dueNs) / 1_000);
+                    }
+                } catch (IOException | InterruptedException e) {
+                    System.out.println("a client ended: " + e);
+                }
+            });
+            client.start();
+            clients.add(client);
+        }
+        for (Thread client : clients) {
+            client.join();
+        }
+        return us;
+    }
+
+    private static void ask(Socket socket, String id) throws IOException {
+        OutputStream out = socket.getOutputStream();
+        out.write(("GET /read/x HTTP/1.1\r\nHost: x\r\nX-Trace-Id: " + id + "\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+        InputStream in = socket.getInputStream();
+        byte[] some = new byte[4_096];
+        StringBuilder got = new StringBuilder();
+        while (got.indexOf("\r\n\r\n") < 0 || !got.toString().startsWith("HTTP/1.1 200") || !got.toString().endsWith("\n")) {
+            int n = in.read(some);
+            if (n < 0 || got.length() > 4_096) {
+                throw new IOException("no answer: " + got);
+            }
+            got.append(new String(some, 0, n, StandardCharsets.ISO_8859_1));
+        }
+    }
+
+    private static void say(String what, Histogram us) {
+        System.out.printf("| %s | %d | %.2f%% | %.2f | %.2f | %.2f |%n", what, us.getTotalCount(),
+            us.getPercentileAtOrBelowValue(250_000), us.getValueAtPercentile(50) / 1e3, us.getValueAtPercentile(99) / 1e3,
+            us.getMaxValue() / 1e3);
+    }
+}
