WebSocket sessions through the decision module, end to end, with their hard cases

Need: clients and units that speak WebSocket, under the same rules as reqs.

Change: gatelock.session (one close a side whatever the order, paced drains, trials taken back, leaving), gatelock.wire.ws on Undertow's support, Gate.message in the module for what goes to a unit on an open session, terms in versions, off without the operator's file. Stand-ins that speak RFC 6455 byte by byte.

--- a/src/main/java/gatelock/boot/Chain.java
+++ b/src/main/java/gatelock/boot/Chain.java
@@ -6,6 +6,7 @@
 import gatelock.kept.OpenReqs;
 import gatelock.plan.Admission;
 import gatelock.relay.Gate;
+import gatelock.session.Sessions;
 import gatelock.wire.Admit;
 import gatelock.wire.Book;
 import gatelock.wire.Desk;
@@ -18,12 +19,15 @@
 import gatelock.wire.SendOff;
 import gatelock.wire.TakeIn;
 import gatelock.wire.Turn;
+import gatelock.wire.ws.Upgrades;
 
 import java.io.IOException;
 import java.util.SplittableRandom;
 
 /** The stages of a req put together around one set of decisions. */
 final class Chain {
+    private static final long SESSIONS_LOOK_US = 50_000;
+
     final Addresses addresses = new Addresses();
     final OpenReqs open;
     final Lines units;
@@ -34,13 +38,18 @@
     private final Configuration told;
     private final Counters counters;
     private final Admission admission;
+    private final Sessions sessions;
     private Desk desk;
     private Discovery discovery;
 
-    /** @param admission what the plan in force means; null: there never is one */
-    Chain(Configuration told, Turn turn, Counters counters, Front front, Admission admission) {
+    /**
+     * @param admission what the plan in force means; null: there never is one
+     * @param sessions null: none are opened
+     */
+    Chain(Configuration told, Turn turn, Counters counters, Front front, Admission admission, Sessions sessions) {
         this.told = told;
         this.admission = admission;
+        this.sessions = sessions;
         this.turn = turn;
         this.counters = counters;
         open = new OpenReqs(counters);
@@ -56,6 +65,9 @@
             told.charter().routes(), told.deadlinesUs()), turn,
             new Admit(turn, open, counters, book, relayBack, gate, admission,
                 told.charter().pausesHeard() ? told.charter().longestPauseUs() : 0), front, admission);
+        if (sessions != null) {
+            takeIn.opensBy(new Upgrades(turn, counters, book, gate, sessions));
+        }
     }
 
     /** Begins from what the configuration holds, and follows discovery and the desk from there. */
@@ -67,8 +79,18 @@
             new SplittableRandom(told.charter().seed() + 1));
         orders.bind(desk, discovery);
         gate.start(turn.nowUs());
-        discovery.start(gate, admission, told.known());
-        desk.start(gate, told.news());
+        Gate hears = sessions == null ? gate : new Told(gate, sessions);
+        discovery.start(hears, admission, told.known());
+        desk.start(hears, told.news());
+        if (sessions != null) {
+            look();
+        }
+    }
+
+    /** Sessions whose turn has come leave. */
+    private void look() {
+        sessions.due(turn.nowUs());
+        turn.in(SESSIONS_LOOK_US, this::look);
     }
 
     /** Follows discovery and the desk at other addresses from now on. */
--- a/src/main/java/gatelock/boot/Operator.java
+++ b/src/main/java/gatelock/boot/Operator.java
@@ -15,13 +15,17 @@
 import java.util.stream.Collectors;
 
 /** The operator's own file: all that a relay does beyond what the platform tells it. Without one all of it is off. */
-record Operator(Control control, InetSocketAddress listener, boolean jsonLog, String logLevel) {
+record Operator(Control control, Sessions sessions, InetSocketAddress listener, boolean jsonLog, String logLevel) {
 
     /** Versioned configuration from a control service. */
     record Control(List<InetSocketAddress> services, long holdMs, int mostBytes, long mostWaitUs, Path directory,
                    double mostDropped, int history) {
     }
 
+    /** WebSocket sessions; {@code most} 0: a tenth of the descriptors. */
+    record Sessions(int most, double opensPerUnit, long drainUs) {
+    }
+
     /** Reads a file; whatever is wrong in it is told, each with its place and what mends it. */
     static Operator read(Path file) throws IOException {
         byte[] text;
@@ -51,10 +55,16 @@
                 + "back to earlier versions, so it must be on loopback", "name an address in 127.0.0.0/8"));
         }
         JsonNode log = root.path("log");
-        return new Operator(root.has("control") ? control(root.get("control"), findings) : null, listener,
+        return new Operator(root.has("control") ? control(root.get("control"), findings) : null,
+            root.has("sessions") ? sessions(root.get("sessions")) : null, listener,
             log.path("form").asText("plain").equals("json"), log.path("level").asText(null));
     }
 
+    private static Sessions sessions(JsonNode node) {
+        return new Sessions(node.path("most").asInt(0), node.path("opensPerUnitS").asDouble(20),
+            (long) (node.path("drainS").asDouble(20) * 1e6));
+    }
+
     private static Control control(JsonNode node, List<Finding> findings) {
         List<InetSocketAddress> services = new ArrayList<>();
         for (int i = 0; i < node.get("services").size(); i++) {
--- a/src/main/java/gatelock/boot/Service.java
+++ b/src/main/java/gatelock/boot/Service.java
@@ -1,6 +1,7 @@
 package gatelock.boot;
 
 import gatelock.kept.Counters;
+import gatelock.session.Sessions;
 import gatelock.wire.Front;
 import gatelock.wire.Turn;
 
@@ -16,6 +17,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.UnaryOperator;
 
@@ -28,6 +30,8 @@
      */
     private static final long LONGEST_COUNTED_US = 3_000_000;
     private static final long ON_TOP_US = 700_000;
+    private static final long SESSIONS_CLOSE_US = 1_400_000;
+    private static final long SESSIONS_LOOK_US = 20_000;
     private static final long COUNTERS_EVERY_US = 60_000_000;
     private static final long STACK_BYTES = 256 * 1024;
 
@@ -41,6 +45,7 @@
     private Front front;
     private Chain chain;
     private Steering steering;
+    private Sessions sessions;
 
     /** With a rehearsal, without, or nothing but one on a free port. */
     enum Start { REHEARSED, COLD, REHEARSAL_ONLY }
@@ -84,7 +89,20 @@
             steering.stop();
         }
         long longestUs = told.deadlinesUs().stream().mapToLong(Long::longValue).max().orElse(0);
-        front.leave(Math.min(longestUs, LONGEST_COUNTED_US) + ON_TOP_US, then);
+        long killedUs = Math.min(longestUs, LONGEST_COUNTED_US) + ON_TOP_US;
+        if (sessions != null) {
+            // The last ones are told early enough to close in turn.
+            sessions.leave(turn.nowUs(), turn.nowUs() + killedUs - SESSIONS_CLOSE_US);
+        }
+        front.leave(killedUs, () -> whenNoSession(then));
+    }
+
+    private void whenNoSession(Runnable then) {
+        if (sessions == null || sessions.size() == 0) {
+            then.run();
+        } else {
+            turn.in(SESSIONS_LOOK_US, () -> whenNoSession(then));
+        }
     }
 
     private void readAnew() {
@@ -136,7 +154,12 @@
         try {
             steering = operator == null || operator.control() == null ? null
                 : new Steering(operator, told, turn, counters);
-            chain = new Chain(told, turn, counters, front, steering == null ? null : steering.admission);
+            Operator.Sessions asked = operator == null || steering == null ? null : operator.sessions();
+            int mostSessions = asked == null ? 0 : asked.most() > 0 ? Math.min(asked.most(), told.sockets() / 5)
+                : told.sockets() / 10;
+            sessions = asked == null ? null : new Sessions(mostSessions, asked.opensPerUnit(), asked.drainUs(),
+                new SplittableRandom(told.charter().seed() + 3));
+            chain = new Chain(told, turn, counters, front, steering == null ? null : steering.admission, sessions);
             chain.start();
             HttpHandler takeIn = before.apply(chain.takeIn);
             front.admit(takeIn, steering == null);
--- /dev/null
+++ b/src/main/java/gatelock/boot/Told.java
@@ -0,0 +1,57 @@
+package gatelock.boot;
+
+import gatelock.relay.Bounds;
+import gatelock.relay.Gate;
+import gatelock.relay.Handle;
+import gatelock.relay.Listed;
+import gatelock.session.Sessions;
+
+import java.util.List;
+
+/** The decisions, with all that is told of units and builds told to the sessions too. */
+record Told(Gate gate, Sessions sessions) implements Gate {
+
+    @Override
+    public void start(long nowUs) {
+        gate.start(nowUs);
+    }
+
+    @Override
+    public Handle take(long nowUs, String id, int route, int tenant, long key, long leftUs, long costUs, Bounds bounds) {
+        return gate.take(nowUs, id, route, tenant, key, leftUs, costUs, bounds);
+    }
+
+    @Override
+    public Passing message(long nowUs, String unit, int route, boolean first) {
+        return gate.message(nowUs, unit, route, first);
+    }
+
+    @Override
+    public void listed(long nowUs, ListForm form, List<Listed> units) {
+        gate.listed(nowUs, form, units);
+        sessions.listed(nowUs, form, units);
+    }
+
+    @Override
+    public void news(long nowUs, int build, int stage, Phase phase, double cap, long agoUs, VoteAnswer answer) {
+        gate.news(nowUs, build, stage, phase, cap, agoUs, answer);
+        if (answer == VoteAnswer.NOT_ASKED || answer == VoteAnswer.COUNTED) {
+            sessions.news(nowUs, build, phase);
+        }
+    }
+
+    @Override
+    public void complaint(long nowUs, String unit, int route, long agoUs) {
+        gate.complaint(nowUs, unit, route, agoUs);
+    }
+
+    @Override
+    public void counted(long nowUs, int build, int route, int count, int failed, long meanUs, long agoUs) {
+        gate.counted(nowUs, build, route, count, failed, meanUs, agoUs);
+    }
+
+    @Override
+    public void due(long nowUs, long token) {
+        gate.due(nowUs, token);
+    }
+}
--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -223,6 +223,25 @@
         return rq;
     }
 
+    /** Rules 3 and 5 for what goes to a unit without being placed: nothing to one that leaves, the trial within its cap. */
+    @Override
+    public Passing message(long nowUs, String unit, int route, boolean first) {
+        clock(nowUs);
+        Unit u = units.get(unit);
+        if (first) {
+            builds.values().forEach(b -> b.earn(route));
+        }
+        if (u == null || u.health != Listed.Health.READY || withdrawn.contains(u.build.number)) {
+            return Passing.NEVER;
+        }
+        boolean trial = u.build.onTrial();
+        if (trial && (u.build.capNow() <= 0 || u.build.room[u.build.slot(route)] < 1)) {
+            return u.build.capNow() <= 0 ? Passing.NEVER : Passing.LATER;
+        }
+        u.build.room[u.build.slot(route)] -= trial ? 1 : 0;
+        return Passing.NOW;
+    }
+
     @Override
     public void listed(long nowUs, ListForm form, List<Listed> entries) {
         clock(nowUs);
--- a/src/main/java/gatelock/kept/OpenReq.java
+++ b/src/main/java/gatelock/kept/OpenReq.java
@@ -2,6 +2,7 @@
 
 import gatelock.relay.Handle;
 
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -16,6 +17,7 @@
     private Handle handle;
     private boolean over;
     private Runnable whenOver;
+    private Opening opening;
 
     /**
      * @param head first line and headers as a unit gets them, all but those that change with each try
@@ -70,6 +72,28 @@
         }
     }
 
+    /** How tries of a req go out that is no ordinary one. */
+    public interface Opening {
+        /** Makes one try at a unit; without an address it can't come to be connected. */
+        void send(InetSocketAddress address, String unit, long timeoutUs);
+    }
+
+    /** Null for an ordinary req. */
+    public Opening opening() {
+        return opening;
+    }
+
+    public void opensBy(Opening opening) {
+        this.opening = opening;
+    }
+
+    /** Takes over what is to be done once it is over; the req does it no more. May be null. */
+    public Runnable takeWhenOver() {
+        Runnable what = whenOver;
+        whenOver = null;
+        return what;
+    }
+
     /** What is to be done once it has its answer or its caller left. */
     public void whenOver(Runnable what) {
         whenOver = what;
--- a/src/main/java/gatelock/plan/Admission.java
+++ b/src/main/java/gatelock/plan/Admission.java
@@ -81,6 +81,11 @@
         public String route() {
             return entry.name();
         }
+
+        /** What is agreed for WebSocket sessions there, or null: none are. */
+        public SessionTerms sessions() {
+            return entry.sessions();
+        }
     }
 
     /** A req under the plan that took it. */
--- a/src/main/java/gatelock/plan/Checks.java
+++ b/src/main/java/gatelock/plan/Checks.java
@@ -81,7 +81,7 @@
     }
 
     private void pools() {
-        section("pools").fields().forEachRemaining(e -> {
+        section("pools").properties().forEach(e -> {
             String pointer = "/pools/" + Draft.escaped(e.getKey());
             JsonNode pool = e.getValue();
             selector(pool, "zones", grounds.zones(), pointer);
@@ -149,7 +149,7 @@
     }
 
     private void limits() {
-        section("limits").fields().forEachRemaining(e -> {
+        section("limits").properties().forEach(e -> {
             String pointer = "/limits/" + Draft.escaped(e.getKey());
             JsonNode limit = e.getValue();
             for (String field : List.of("ratePerS", "inFlight")) {
@@ -206,6 +206,10 @@
         if (classNo != null) {
             Route terms = grounds.terms().get(classNo);
             method(line, terms);
+            if (line.sessions() != null && terms.repeat() != Route.Repeat.RETRIABLE) {
+                findings.add(Draft.grave("M-SESSION", at(line, "sessions"), "sessions are opened by GET, and reqs of class "
+                    + line.className() + " come by POST", "give the route a retriable class, or take sessions out"));
+            }
             if (poolStands && retriesStand && terms.repeat() == Route.Repeat.NON_RETRIABLE) {
                 once(line);
             }
--- a/src/main/java/gatelock/plan/Compiler.java
+++ b/src/main/java/gatelock/plan/Compiler.java
@@ -69,12 +69,12 @@
     private Plan plan(Stamp stamp, Sheet sheet) {
         JsonNode root = sheet.root();
         Map<String, Limit> limits = new LinkedHashMap<>();
-        root.path("limits").fields().forEachRemaining(e -> limits.put(e.getKey(), limit(e.getKey(), e.getValue())));
+        root.path("limits").properties().forEach(e -> limits.put(e.getKey(), limit(e.getKey(), e.getValue())));
         Map<String, Retries> retries = new LinkedHashMap<>();
-        root.path("retries").fields().forEachRemaining(e -> retries.put(e.getKey(), retries(e.getKey(), e.getValue())));
+        root.path("retries").properties().forEach(e -> retries.put(e.getKey(), retries(e.getKey(), e.getValue())));
         Map<String, Pool> pools = new LinkedHashMap<>();
         Map<String, Retries> poolRetries = new HashMap<>();
-        root.path("pools").fields().forEachRemaining(e -> {
+        root.path("pools").properties().forEach(e -> {
             pools.put(e.getKey(), pool(e.getKey(), e.getValue()));
             if (e.getValue().has("retries")) {
                 poolRetries.put(e.getKey(), retries.get(e.getValue().get("retries").asText()));
@@ -85,7 +85,7 @@
             if (!line.isAbstract()) {
                 List<Limit> its = line.limits().stream().map(limits::get).toList();
                 entries.add(new Entry(line.name(), entries.size(), line.match(), grounds.classes().get(line.className()),
-                    line.pool(), its, line.retries() == null ? null : retries.get(line.retries())));
+                    line.pool(), its, line.retries() == null ? null : retries.get(line.retries()), line.sessions()));
             }
         }
         String byDefault = sheet.byDefault("retries");
@@ -132,7 +132,7 @@
 
     private Pool pool(String name, JsonNode node) {
         Map<String, String> labels = new TreeMap<>();
-        node.path("labels").fields().forEachRemaining(e -> labels.put(e.getKey(), e.getValue().asText()));
+        node.path("labels").properties().forEach(e -> labels.put(e.getKey(), e.getValue().asText()));
         return new Pool(name, places(node.path("zones"), grounds.zones()), places(node.path("kinds"), grounds.kinds()),
             labels, node.path("fallback").asText(null), node.path("leastShare").asDouble(0));
     }
--- a/src/main/java/gatelock/plan/Sheet.java
+++ b/src/main/java/gatelock/plan/Sheet.java
@@ -115,11 +115,23 @@
             return limits;
         }
 
+        /** What it or a parent says of sessions, or null. */
+        SessionTerms sessions() {
+            JsonNode node = said("sessions");
+            if (node.isMissingNode()) {
+                return null;
+            }
+            Set<String> subprotocols = new HashSet<>();
+            node.path("subprotocols").forEach(n -> subprotocols.add(n.asText()));
+            return new SessionTerms(node.path("messageBytes").asInt(65_536), (long) (node.path("idleS").asDouble(300) * 1e6),
+                (long) (node.path("pingS").asDouble(20) * 1e6), node.path("framesPerS").asInt(200), subprotocols);
+        }
+
         Match match() {
             Set<String> methods = new HashSet<>();
             said("methods").forEach(m -> methods.add(m.asText()));
             Map<String, String> headers = new TreeMap<>();
-            said("headers").fields().forEachRemaining(e -> headers.put(e.getKey().toLowerCase(Locale.ROOT),
+            said("headers").properties().forEach(e -> headers.put(e.getKey().toLowerCase(Locale.ROOT),
                 e.getValue().asText()));
             return new Match(said("host").asText("*"), Match.segments(said("path").asText("/")), methods, headers);
         }
--- a/src/main/java/gatelock/relay/Gate.java
+++ b/src/main/java/gatelock/relay/Gate.java
@@ -37,6 +37,19 @@
     /** Stands for a req without a key. */
     long NO_KEY = -1;
 
+    /** When a message of an open session may go to its unit. */
+    enum Passing { NOW, LATER, NEVER }
+
+    /**
+     * A message of a session that stands at a unit is to go there. It counts as a req taken and, at a build on trial, as
+     * a try.
+     *
+     * @param first whether it is asked for the first time, and not again after {@link Passing#LATER}
+     */
+    default Passing message(long nowUs, String unit, int route, boolean first) {
+        return Passing.NEVER;
+    }
+
     /** The list of units, or a part of it, has come in. */
     void listed(long nowUs, ListForm form, List<Listed> units);
 
--- /dev/null
+++ b/src/main/java/gatelock/session/Sessions.java
@@ -0,0 +1,191 @@
+package gatelock.session;
+
+import gatelock.relay.Gate;
+import gatelock.relay.Listed;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+/**
+ * All sessions of a relay: how many there may be, and which must leave their unit and when. Closes that clients come back
+ * from are paced: so many a second as the units that stay can open, so that those who come back flood nobody.
+ */
+public final class Sessions {
+    /** So many opens a second each ready unit is taken to bear, when nothing else is said. */
+    private final double opensPerUnit;
+    private final long drainUs;
+    private final int most;
+    private final RandomGenerator chance;
+    private final Map<Integer, Session> all = new LinkedHashMap<>();
+    private final Map<String, Set<Session>> byUnit = new HashMap<>();
+    private final Map<String, Listed> units = new HashMap<>();
+    /** Those that must leave, in turn, each with its cause and the time by which it goes at the latest. */
+    private final ArrayDeque<Leaving> leaving = new ArrayDeque<>();
+    private final Map<Session, Leaving> due = new HashMap<>();
+    private double budget;
+    private long budgetUs;
+    private int nextPlace;
+    private boolean relayLeaves;
+    private int newest = -1;
+    private Gate.Phase phase = Gate.Phase.RELEASED;
+
+    private record Leaving(Session session, Cause cause, long byUs) {
+    }
+
+    /**
+     * @param most sessions at a time
+     * @param opensPerUnit opens a second that each ready unit bears
+     * @param drainUs how long a drain may take at the most
+     */
+    public Sessions(int most, double opensPerUnit, long drainUs, RandomGenerator chance) {
+        this.most = most;
+        this.opensPerUnit = opensPerUnit;
+        this.drainUs = drainUs;
+        this.chance = chance;
+    }
+
+    public int size() {
+        return all.size();
+    }
+
+    public int mustLeave() {
+        return due.size();
+    }
+
+    /** Whether one more may be opened at all. */
+    public boolean room() {
+        return all.size() < most && !relayLeaves;
+    }
+
+    /** One is open at a unit. */
+    public Session opened(long nowUs, String unit, int route, Session.Wires wires) {
+        Session session = new Session(nextPlace++, unit, route, wires);
+        all.put(session.place(), session);
+        byUnit.computeIfAbsent(unit, u -> new LinkedHashSet<>()).add(session);
+        Listed at = units.get(unit);
+        if (at == null || at.health() != Listed.Health.READY) {
+            // It was asked for before the unit was known to leave.
+            leaves(session, Cause.DRAIN, nowUs + drainUs);
+        } else if (takenBack(at.build())) {
+            session.end(nowUs, Cause.TRIAL_BACK, back());
+        }
+        return session;
+    }
+
+    /** The list of units, or a part of it: sessions at units that drain, are gone or came back as others must leave. */
+    public void listed(long nowUs, Gate.ListForm form, List<Listed> entries) {
+        if (form == Gate.ListForm.FAILED) {
+            return;
+        }
+        if (form != Gate.ListForm.DELTA) {
+            Set<String> named = new LinkedHashSet<>();
+            entries.forEach(l -> named.add(l.unit()));
+            List.copyOf(units.keySet()).stream().filter(u -> !named.contains(u)).forEach(u -> {
+                units.remove(u);
+                allLeave(nowUs, u);
+            });
+        }
+        for (Listed l : entries) {
+            Listed was = l.health() == Listed.Health.GONE ? units.remove(l.unit()) : units.put(l.unit(), l);
+            boolean other = was != null && (was.startUs() != l.startUs() || was.build() != l.build());
+            if (l.health() != Listed.Health.READY || other) {
+                allLeave(nowUs, l.unit());
+            }
+        }
+    }
+
+    private void allLeave(long nowUs, String unit) {
+        byUnit.getOrDefault(unit, Set.of()).forEach(s -> leaves(s, Cause.DRAIN, nowUs + drainUs));
+    }
+
+    private void leaves(Session session, Cause cause, long byUs) {
+        if (session.open() && !due.containsKey(session)) {
+            Leaving leaves = new Leaving(session, cause, byUs);
+            leaving.add(leaves);
+            due.put(session, leaves);
+        }
+    }
+
+    /** News of the newest build: once it goes back, its sessions end at once, as nothing may go there any more. */
+    public void news(long nowUs, int build, Gate.Phase now) {
+        newest = build;
+        phase = now;
+        if (now == Gate.Phase.REVERTING || now == Gate.Phase.WITHDRAWN) {
+            for (Session s : List.copyOf(all.values())) {
+                Listed at = units.get(s.unit());
+                if (at != null && takenBack(at.build())) {
+                    s.end(nowUs, Cause.TRIAL_BACK, back());
+                }
+            }
+        }
+    }
+
+    private boolean takenBack(int build) {
+        return build == newest && (phase == Gate.Phase.REVERTING || phase == Gate.Phase.WITHDRAWN);
+    }
+
+    /** The relay leaves: all must go by then. */
+    public void leave(long nowUs, long byUs) {
+        relayLeaves = true;
+        all.values().forEach(s -> leaves(s, Cause.LEAVING, byUs));
+    }
+
+    /** A message can't go to its unit any more, as that leaves: the session goes before its turn. */
+    public void unreachable(long nowUs, Session session) {
+        Listed at = units.get(session.unit());
+        session.end(nowUs, at != null && takenBack(at.build()) ? Cause.TRIAL_BACK : Cause.DRAIN, back());
+    }
+
+    /**
+     * Ends those whose turn has come, and forgets those that are over; to be called some ten times a second. When a relay
+     * leaves, the rest goes evenly until the time is up, since its clients go to other relays.
+     */
+    public void due(long nowUs) {
+        long ready = units.values().stream().filter(l -> l.health() == Listed.Health.READY).count();
+        double perUs = Math.max(1, ready) * opensPerUnit / 1e6;
+        budget = Math.min(Math.max(1, perUs * 100_000), budget + Math.max(0, nowUs - budgetUs) * perUs);
+        budgetUs = nowUs;
+        while (!leaving.isEmpty()) {
+            Leaving next = leaving.peek();
+            // Evenly over what time is left, where the pace alone would not be done by then.
+            boolean pressed = leaving.size() > (next.byUs - nowUs) * perUs;
+            boolean lastCall = nowUs >= next.byUs || pressed && relayLeaves
+                && chance.nextDouble() < 100_000.0 / Math.max(100_000, next.byUs - nowUs);
+            if (next.session.open() && budget < 1 && !lastCall) {
+                break;
+            }
+            leaving.remove();
+            due.remove(next.session);
+            if (next.session.open()) {
+                budget = Math.max(0, budget - 1);
+                next.session.end(nowUs, next.cause, back());
+            }
+        }
+        for (Session s : new ArrayList<>(all.values())) {
+            if (s.due(nowUs)) {
+                forget(s);
+            }
+        }
+    }
+
+    private void forget(Session s) {
+        all.remove(s.place());
+        due.remove(s);
+        byUnit.computeIfPresent(s.unit(), (u, some) -> {
+            some.remove(s);
+            return some.isEmpty() ? null : some;
+        });
+    }
+
+    /** When a client may come back: spread, so that those told together do not come together. */
+    private long back() {
+        return 50 + chance.nextLong(950);
+    }
+}
--- a/src/main/java/gatelock/wire/Book.java
+++ b/src/main/java/gatelock/wire/Book.java
@@ -22,7 +22,7 @@
     }
 
     /** A try has ended; the first that completed is the req's answer. */
-    void ended(OpenReq req, int tryNo, Ending ending, long tookUs, UnitAnswer answer) {
+    public void ended(OpenReq req, int tryNo, Ending ending, long tookUs, UnitAnswer answer) {
         counters.ended(ending);
         if (ending == Ending.COMPLETED && !req.over()) {
             relayBack.completed(req, answer);
--- a/src/main/java/gatelock/wire/Front.java
+++ b/src/main/java/gatelock/wire/Front.java
@@ -169,6 +169,11 @@
         }
     }
 
+    /** A connection carries a session from now on: its life is no more a matter of reqs. */
+    public void upgraded(HttpServerExchange exchange) {
+        clients.gone(connection(exchange));
+    }
+
     /** The client has left, or broke off its own req. */
     void left(HttpServerExchange exchange) {
         clients.end(turn.nowUs(), connection(exchange), Clients.Why.LEFT);
--- a/src/main/java/gatelock/wire/RouteOut.java
+++ b/src/main/java/gatelock/wire/RouteOut.java
@@ -3,6 +3,8 @@
 import gatelock.kept.Addresses;
 import gatelock.kept.OpenReq;
 
+import java.net.InetSocketAddress;
+
 /** Third stage: the unit that was decided on becomes an address. */
 public final class RouteOut {
     private final Addresses addresses;
@@ -15,6 +17,11 @@
 
     void send(OpenReq req, String unit, long timeoutUs) {
         Addresses.Place place = addresses.get(unit);
-        sendOff.send(req, place == null ? null : place.address(), timeoutUs);
+        InetSocketAddress address = place == null ? null : place.address();
+        if (req.opening() != null) {
+            req.opening().send(address, unit, timeoutUs);
+        } else {
+            sendOff.send(req, address, timeoutUs);
+        }
     }
 }
--- a/src/main/java/gatelock/wire/TakeIn.java
+++ b/src/main/java/gatelock/wire/TakeIn.java
@@ -6,6 +6,7 @@
 import gatelock.kept.UnitAnswer;
 import gatelock.plan.Admission;
 import gatelock.plan.Asked;
+import gatelock.plan.SessionTerms;
 import gatelock.relay.Gate;
 import gatelock.relay.Route;
 
@@ -32,6 +33,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 
 /** First stage: a client's req is read whole and checked for its form; the fields that matter are taken out. */
 public final class TakeIn implements HttpHandler {
@@ -59,6 +61,7 @@
     private final Names names;
     private final Admit admit;
     private final Admission admission;
+    private Upgrade upgrade;
     private final Front front;
 
     /** @param admission what the plan in force means; null: there never is one */
@@ -71,6 +74,23 @@
         this.front = front;
     }
 
+    /** Who opens sessions, where they are on. */
+    public interface Upgrade {
+        /** Whether a req asks for a session; the form of the rest is checked already. */
+        boolean asked(HttpServerExchange exchange);
+
+        /** 0, or the status with which it is turned away. */
+        int refusal(HttpServerExchange exchange);
+
+        /** Makes a req one that opens a session; what is given takes the client's side over once a unit has opened. */
+        Consumer<HttpServerExchange> opens(HttpServerExchange exchange, OpenReq req, SessionTerms terms, int route);
+    }
+
+    /** From now on sessions are opened by this. */
+    public void opensBy(Upgrade upgrade) {
+        this.upgrade = upgrade;
+    }
+
     @Override
     public void handleRequest(HttpServerExchange exchange) {
         // Read from the path as it came, which goes on as it came.
@@ -88,6 +108,8 @@
         Integer route = way != null ? (Integer) way.classNo() : path.startsWith("/")
             ? names.routes.get(path.substring(1, slash < 0 ? path.length() : slash)) : null;
         wrong = wrong != 0 ? wrong : formOf(exchange, route, length);
+        boolean opens = wrong == 0 && upgrade != null && way != null && way.sessions() != null && upgrade.asked(exchange);
+        wrong = opens ? upgrade.refusal(exchange) : wrong;
         if (wrong != 0) {
             refuse(exchange, wrong);
         } else if (length == 0 || exchange.isRequestComplete()) {
@@ -223,6 +245,9 @@
         HttpCaller caller = new HttpCaller(exchange);
         OpenReq req = new OpenReq(id, head(exchange, body.length), body, endUs, caller);
         caller.req = req;
+        if (upgrade != null && way != null && way.sessions() != null && upgrade.asked(exchange)) {
+            caller.takesOver = upgrade.opens(exchange, req, way.sessions(), route);
+        }
         int org = tenant == null ? names.tenants.size() : tenant;
         Cookie cookie = exchange.getRequestCookie("k");
         long key = key(cookie == null ? null : cookie.getValue());
@@ -285,6 +310,7 @@
     private final class HttpCaller implements Caller {
         private final HttpServerExchange exchange;
         private OpenReq req;
+        private Consumer<HttpServerExchange> takesOver;
 
         HttpCaller(HttpServerExchange exchange) {
             this.exchange = exchange;
@@ -329,6 +355,11 @@
 
         @Override
         public void completed(UnitAnswer answer) {
+            if (takesOver != null) {
+                front.upgraded(exchange);
+                takesOver.accept(exchange);
+                return;
+            }
             exchange.setStatusCode(200);
             for (int i = 0; i < answer.headers().size(); i += 2) {
                 HttpString name = new HttpString(answer.headers().get(i));
--- /dev/null
+++ b/src/main/java/gatelock/wire/ws/Upgrades.java
@@ -0,0 +1,256 @@
+package gatelock.wire.ws;
+
+import gatelock.kept.Counters;
+import gatelock.kept.OpenReq;
+import gatelock.kept.UnitAnswer;
+import gatelock.plan.SessionTerms;
+import gatelock.relay.Ending;
+import gatelock.relay.Gate;
+import gatelock.session.Sessions;
+import gatelock.wire.Book;
+import gatelock.wire.TakeIn;
+import gatelock.wire.Turn;
+
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.DefaultByteBufferPool;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderValues;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import io.undertow.websockets.WebSocketConnectionCallback;
+import io.undertow.websockets.WebSocketProtocolHandshakeHandler;
+import io.undertow.websockets.client.WebSocketClient;
+import io.undertow.websockets.client.WebSocketClientNegotiation;
+import io.undertow.websockets.core.WebSocketChannel;
+import io.undertow.websockets.core.protocol.Handshake;
+import io.undertow.websockets.core.protocol.version13.Hybi13Handshake;
+
+import org.xnio.IoFuture;
+import org.xnio.IoUtils;
+import org.xnio.XnioExecutor;
+
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.URISyntaxException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/**
+ * Opens sessions: a req asks for one, the decisions choose a unit as for any req, a try is an opening handshake with that
+ * unit, and only once a unit has opened is the client's own handshake answered. Until then the client has an ordinary
+ * req, which may be shed with a time to come back.
+ */
+public final class Upgrades implements TakeIn.Upgrade {
+    private static final System.Logger LOG = System.getLogger("gatelock.wire");
+    private static final int BUFFER_BYTES = 4096;
+    private static final HttpString PROTOCOL = new HttpString("Sec-WebSocket-Protocol");
+    private static final HttpString KEY = new HttpString("Sec-WebSocket-Key");
+    private static final HttpString VERSION = new HttpString("Sec-WebSocket-Version");
+    /** Passed on to a unit with its own opening handshake. */
+    private static final List<String> PASSED = List.of("X-Trace-Id", "X-Customer", "Cookie", "X-Size-Hint", "Origin");
+
+    private final Turn turn;
+    private final Counters counters;
+    private final Book book;
+    private final Gate gate;
+    private final Sessions sessions;
+    private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES, 200, 0, 0);
+
+    public Upgrades(Turn turn, Counters counters, Book book, Gate gate, Sessions sessions) {
+        this.turn = turn;
+        this.counters = counters;
+        this.book = book;
+        this.gate = gate;
+        this.sessions = sessions;
+    }
+
+    @Override
+    public boolean asked(HttpServerExchange exchange) {
+        return "websocket".equalsIgnoreCase(exchange.getRequestHeaders().getFirst(Headers.UPGRADE));
+    }
+
+    @Override
+    public int refusal(HttpServerExchange exchange) {
+        String connection = exchange.getRequestHeaders().getFirst(Headers.CONNECTION);
+        String key = exchange.getRequestHeaders().getFirst(KEY);
+        boolean form = connection != null && connection.toLowerCase(java.util.Locale.ROOT).contains("upgrade")
+            && key != null && key.matches("[A-Za-z0-9+/]{22}==") && exchange.getRequestHeaders().count(KEY) == 1;
+        if (!form) {
+            return 400;
+        }
+        if (!"13".equals(exchange.getRequestHeaders().getFirst(VERSION))) {
+            exchange.getResponseHeaders().put(VERSION, "13");
+            return 426;
+        }
+        if (!sessions.room()) {
+            counters.add("sessions turned away, no room");
+            exchange.getResponseHeaders().put(Headers.RETRY_AFTER, "1");
+            return 503;
+        }
+        return 0;
+    }
+
+    @Override
+    public Consumer<HttpServerExchange> opens(HttpServerExchange exchange, OpenReq req, SessionTerms terms, int route) {
+        Opening opening = new Opening(exchange, req, terms, route);
+        req.opensBy(opening);
+        return opening::takeOver;
+    }
+
+    private static List<String> subprotocols(HttpServerExchange exchange, Set<String> allowed) {
+        List<String> asked = new ArrayList<>();
+        HeaderValues values = exchange.getRequestHeaders().get(PROTOCOL);
+        if (values != null) {
+            for (String value : values) {
+                for (String one : value.split(",")) {
+                    if (allowed.contains(one.trim())) {
+                        asked.add(one.trim());
+                    }
+                }
+            }
+        }
+        return asked;
+    }
+
+    /** One req that opens a session, through all of its tries. */
+    private final class Opening implements OpenReq.Opening {
+        private final OpenReq req;
+        private final SessionTerms terms;
+        private final int route;
+        private final String path;
+        private final List<String> subprotocols;
+        private final Map<String, List<String>> headers = new java.util.LinkedHashMap<>();
+        private WebSocketChannel unit;
+        private String unitName;
+        private String subprotocol;
+        private Runnable whenOver;
+
+        Opening(HttpServerExchange exchange, OpenReq req, SessionTerms terms, int route) {
+            this.req = req;
+            this.terms = terms;
+            this.route = route;
+            this.path = exchange.getRequestURI() + (exchange.getQueryString().isEmpty() ? "" : "?" + exchange.getQueryString());
+            this.subprotocols = subprotocols(exchange, terms.subprotocols());
+            for (String name : PASSED) {
+                String value = exchange.getRequestHeaders().getFirst(name);
+                if (value != null) {
+                    headers.put(name, List.of(value));
+                }
+            }
+        }
+
+        @Override
+        public void send(InetSocketAddress address, String unitName, long timeoutUs) {
+            new Try(unitName).begin(address, timeoutUs);
+        }
+
+        /** The client's side: its handshake is answered, and the two sides are one session from then on. */
+        private void takeOver(HttpServerExchange exchange) {
+            Handshake handshake = new Hybi13Handshake(subprotocol == null ? Set.of() : Set.of(subprotocol), false);
+            try {
+                WebSocketConnectionCallback coupled = (facade, client) ->
+                    new Coupling(turn, counters, gate, sessions, terms, unitName, route, client, unit, whenOver).begin();
+                new WebSocketProtocolHandshakeHandler(List.of(handshake), coupled).handleRequest(exchange);
+            } catch (Exception e) {
+                LOG.log(Level.DEBUG, () -> "a client's upgrade failed: " + e);
+                IoUtils.safeClose(unit, exchange.getConnection());
+                over();
+            }
+        }
+
+        private void over() {
+            if (whenOver != null) {
+                whenOver.run();
+                whenOver = null;
+            }
+        }
+
+        /** One opening handshake with a unit. */
+        private final class Try {
+            private final String name;
+            private final int number;
+            private final long sentUs = turn.nowUs();
+            private IoFuture<WebSocketChannel> opening;
+            private XnioExecutor.Key limit;
+            private boolean ended;
+
+            Try(String name) {
+                this.name = name;
+                this.number = req.addTry(() -> end(Ending.CANCELLED));
+            }
+
+            private void begin(InetSocketAddress address, long timeoutUs) {
+                long leftUs = req.endUs() - sentUs;
+                if (req.over() || leftUs <= 0) {
+                    end(Ending.NOT_SENT);
+                    return;
+                }
+                if (address == null) {
+                    end(Ending.NOT_CONNECTED);
+                    return;
+                }
+                URI uri;
+                try {
+                    uri = new URI("ws://" + address.getAddress().getHostAddress() + ":" + address.getPort() + path);
+                } catch (URISyntaxException e) {
+                    end(Ending.NOT_SENT);
+                    return;
+                }
+                limit = turn.in(timeoutUs > 0 ? Math.min(timeoutUs, leftUs) : leftUs, () -> end(Ending.TIMED_OUT));
+                WebSocketClientNegotiation negotiation = new WebSocketClientNegotiation(subprotocols, List.of()) {
+                    @Override
+                    public void beforeRequest(Map<String, List<String>> out) {
+                        out.putAll(headers);
+                    }
+                };
+                opening = WebSocketClient.connectionBuilder(turn.thread().getWorker(), buffers, uri)
+                    .setClientNegotiation(negotiation).connect();
+                opening.addNotifier(new IoFuture.HandlingNotifier<WebSocketChannel, Void>() {
+                    @Override
+                    public void handleDone(WebSocketChannel channel, Void nothing) {
+                        turn.soon(() -> opened(channel, negotiation.getSelectedSubProtocol()));
+                    }
+
+                    @Override
+                    public void handleFailed(java.io.IOException e, Void nothing) {
+                        turn.soon(() -> end(e instanceof java.net.ConnectException ? Ending.NOT_CONNECTED : Ending.ERRORED));
+                    }
+                }, null);
+            }
+
+            private void opened(WebSocketChannel channel, String agreed) {
+                if (ended || req.over()) {
+                    IoUtils.safeClose(channel);
+                    end(Ending.CANCELLED);
+                    return;
+                }
+                unit = channel;
+                unitName = name;
+                subprotocol = agreed == null || agreed.isEmpty() ? null : agreed;
+                // What it holds of its limits it holds until the session is over.
+                whenOver = req.takeWhenOver();
+                counters.add("sessions opened");
+                end(Ending.COMPLETED);
+            }
+
+            private void end(Ending ending) {
+                if (ended) {
+                    return;
+                }
+                ended = true;
+                if (limit != null) {
+                    limit.remove();
+                }
+                if (opening != null && ending != Ending.COMPLETED) {
+                    opening.cancel();
+                }
+                book.ended(req, number, ending, turn.nowUs() - sentUs, ending == Ending.COMPLETED
+                    ? new UnitAnswer(101, List.of(), new byte[0]) : null);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/gatelock/session/SessionTest.java
@@ -0,0 +1,151 @@
+package gatelock.session;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import gatelock.relay.Gate;
+import gatelock.relay.Listed;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+/** Sessions under events in any order. */
+final class SessionTest {
+    private static final long SECOND = 1_000_000;
+
+    /** Both peers as they see it. */
+    private static final class Peers implements Session.Wires {
+        private final Map<Session.Side, Integer> closes = new EnumMap<>(Session.Side.class);
+        private final Set<Session.Side> cut = new HashSet<>();
+        private final Set<Session.Side> lost = new HashSet<>();
+        private String reason;
+
+        @Override
+        public void close(Session.Side side, int code, String reason) {
+            assertThat(Session.sendable(code)).as("%d", code).isTrue();
+            assertThat(closes.put(side, code)).as("a second close to %s", side).isNull();
+            assertThat(cut).doesNotContain(side);
+            assertThat(lost).as("nobody is there").doesNotContain(side);
+            assertThat(reason.length()).isLessThanOrEqualTo(123);
+            this.reason = side == Session.Side.CLIENT ? reason : this.reason;
+        }
+
+        @Override
+        public void cut(Session.Side side) {
+            assertThat(closes).as("cut without a word").containsKey(side);
+            assertThat(cut.add(side)).isTrue();
+        }
+    }
+
+    @Property(tries = 2_000, seed = "18")
+    void eachSideThatHearsGetsJustOneCloseWhateverTheOrder(@ForAll long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        Peers peers = new Peers();
+        Session session = new Session(0, "u", 0, peers);
+        long nowUs = 1;
+        for (int i = 0; i < 12; i++) {
+            nowUs += random.nextLong(400_000);
+            Session.Side side = random.nextBoolean() ? Session.Side.CLIENT : Session.Side.UNIT;
+            boolean there = !peers.lost.contains(side) && !peers.cut.contains(side);
+            switch (random.nextInt(4)) {
+                case 0 -> session.end(nowUs, Cause.values()[random.nextInt(Cause.values().length)], random.nextInt(2) * 100);
+                case 1 -> {
+                    if (there) {
+                        session.closed(nowUs, side, random.nextInt(5_100), "x");
+                    }
+                }
+                case 2 -> {
+                    if (there) {
+                        peers.lost.add(side);
+                        session.lost(nowUs, side);
+                    }
+                }
+                default -> session.due(nowUs);
+            }
+            boolean ended = session.cause() != null;
+            assertThat(session.open()).isEqualTo(!ended);
+            for (Session.Side s : Session.Side.values()) {
+                assertThat(peers.closes.containsKey(s)).isEqualTo(ended && (peers.closes.containsKey(s)
+                    || !peers.lost.contains(s)));
+            }
+        }
+        session.end(nowUs, Cause.IDLE, 0);
+        assertThat(session.due(nowUs + 2 * SECOND)).isTrue();
+    }
+
+    private static Listed unit(String name, int build, Listed.Health health) {
+        return new Listed(name, build, 0, 0, 0, health, 0);
+    }
+
+    @Test
+    void aDrainIsPacedByWhatTheOthersBearAndEndsInTime() {
+        Sessions sessions = new Sessions(10_000, 20, 10 * SECOND, new SplittableRandom(1));
+        sessions.listed(1, Gate.ListForm.FULL, List.of(unit("a", 1, Listed.Health.READY), unit("b", 1, Listed.Health.READY),
+            unit("c", 1, Listed.Health.READY)));
+        List<Peers> at = new ArrayList<>();
+        for (int i = 0; i < 600; i++) {
+            Peers peers = new Peers();
+            at.add(peers);
+            sessions.opened(2, "a", 0, peers);
+        }
+        sessions.listed(SECOND, Gate.ListForm.DELTA, List.of(unit("a", 1, Listed.Health.DRAINING)));
+        long closedBefore = 0;
+        for (long us = SECOND; us < 12 * SECOND; us += 100_000) {
+            sessions.due(us);
+            long closed = at.stream().filter(p -> p.closes.containsKey(Session.Side.CLIENT)).count();
+            if (us < 11 * SECOND) {
+                assertThat(closed - closedBefore).as("at %d", us).isLessThanOrEqualTo(5);
+            }
+            closedBefore = closed;
+        }
+        // Two units at 20 a second bear 400 in 10 s; what is left then goes all the same.
+        assertThat(closedBefore).isEqualTo(600);
+        assertThat(at).allMatch(p -> p.closes.get(Session.Side.CLIENT) == 1012 && p.reason.matches(".* after [0-9]+ ms"));
+        sessions.due(14 * SECOND);
+        assertThat(sessions.size()).isZero();
+        assertThat(sessions.mustLeave()).isZero();
+    }
+
+    @Test
+    void aBuildThatGoesBackTakesItsSessionsAlongAtOnceAndNoOthers() {
+        Sessions sessions = new Sessions(10, 20, 10 * SECOND, new SplittableRandom(1));
+        sessions.listed(1, Gate.ListForm.FULL, List.of(unit("a", 1, Listed.Health.READY), unit("b", 2, Listed.Health.READY)));
+        sessions.news(1, 2, Gate.Phase.TRIAL);
+        Peers old = new Peers();
+        Peers trial = new Peers();
+        sessions.opened(2, "a", 0, old);
+        sessions.opened(2, "b", 0, trial);
+        sessions.news(3, 2, Gate.Phase.REVERTING);
+        assertThat(trial.closes).containsEntry(Session.Side.CLIENT, 1012);
+        assertThat(old.closes).isEmpty();
+        Peers late = new Peers();
+        sessions.opened(4, "b", 0, late);
+        assertThat(late.closes).as("its opening crossed the news").containsEntry(Session.Side.CLIENT, 1012);
+    }
+
+    @Test
+    void aRelayThatLeavesClosesAllByItsTime() {
+        Sessions sessions = new Sessions(10_000, 20, 10 * SECOND, new SplittableRandom(1));
+        sessions.listed(1, Gate.ListForm.FULL, List.of(unit("a", 1, Listed.Health.READY)));
+        List<Peers> at = new ArrayList<>();
+        for (int i = 0; i < 2_000; i++) {
+            Peers peers = new Peers();
+            at.add(peers);
+            sessions.opened(2, "a", 0, peers);
+        }
+        sessions.leave(SECOND, 3 * SECOND);
+        assertThat(sessions.room()).isFalse();
+        for (long us = SECOND; us <= 3 * SECOND; us += 50_000) {
+            sessions.due(us);
+        }
+        assertThat(at).allMatch(p -> p.closes.get(Session.Side.CLIENT) == 1012);
+    }
+}
--- /dev/null
+++ b/src/test/java/gatelock/standin/Hive.java
@@ -0,0 +1,126 @@
+package gatelock.standin;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.util.Base64;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+/** A unit that speaks WebSocket: opens sessions, echoes texts, and notes with its time all that came. */
+public final class Hive implements AutoCloseable {
+    /** What came on one session, when. */
+    public record Came(long ns, String what) {
+    }
+
+    private final ServerSocket listener = new ServerSocket(0, 500, InetAddress.getLoopbackAddress());
+    private final List<Came> log = new CopyOnWriteArrayList<>();
+    private final BlockingQueue<Tablet> opened = new LinkedBlockingQueue<>();
+    private final List<Socket> sockets = new CopyOnWriteArrayList<>();
+    private volatile boolean refuses;
+    private volatile boolean echoes = true;
+
+    public Hive() throws IOException {
+        thread(() -> {
+            while (!listener.isClosed()) {
+                Socket socket = listener.accept();
+                sockets.add(socket);
+                thread(() -> serve(socket));
+            }
+        });
+    }
+
+    private interface Work {
+        void run() throws Exception;
+    }
+
+    private static void thread(Work work) {
+        Thread thread = new Thread(() -> {
+            try {
+                work.run();
+            } catch (Exception e) {
+                // the connection or the hive has ended
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    public String address() {
+        return "127.0.0.1:" + listener.getLocalPort();
+    }
+
+    /** From now on openings are answered 503, never run. */
+    public void refuse() {
+        refuses = true;
+    }
+
+    /** From now on the test reads what comes on sessions opened later. */
+    public void stay() {
+        echoes = false;
+    }
+
+    public List<Came> log() {
+        return log;
+    }
+
+    /** This unit's end of the session that was opened next. */
+    public Tablet next() throws InterruptedException {
+        Tablet tablet = opened.poll(20, TimeUnit.SECONDS);
+        if (tablet == null) {
+            throw new AssertionError("no session was opened");
+        }
+        return tablet;
+    }
+
+    private void serve(Socket socket) throws Exception {
+        StringBuilder head = new StringBuilder();
+        while (!head.toString().endsWith("\r\n\r\n")) {
+            int b = socket.getInputStream().read();
+            if (b < 0) {
+                return;
+            }
+            head.append((char) b);
+        }
+        String key = head.toString().lines().filter(l -> l.toLowerCase().startsWith("sec-websocket-key:"))
+            .map(l -> l.substring(18).trim()).findFirst().orElse(null);
+        if (refuses || key == null) {
+            socket.getOutputStream().write("HTTP/1.1 503 No\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n".getBytes());
+            socket.close();
+            return;
+        }
+        log.add(new Came(System.nanoTime(), "open"));
+        String accept = Base64.getEncoder().encodeToString(MessageDigest.getInstance("SHA-1").digest(
+            (key + "258EAFA5-E914-47DA-95CA-C5AB0DC85B11").getBytes(StandardCharsets.US_ASCII)));
+        socket.getOutputStream().write(("HTTP/1.1 101 Switching Protocols\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
+            + "Sec-WebSocket-Accept: " + accept + "\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+        Tablet end = new Tablet(socket, false);
+        opened.add(end);
+        if (echoes) {
+            for (Tablet.Frame f = end.frame(); f.opcode() >= 0; f = end.frame()) {
+                log.add(new Came(System.nanoTime(), f.opcode() == Tablet.CLOSE ? "close " + f.code() : f.text()));
+                if (f.opcode() == Tablet.CLOSE) {
+                    end.frame(0x80 | Tablet.CLOSE, f.body());
+                    socket.close();
+                    return;
+                }
+                end.frame(0x80 | f.opcode(), f.body());
+            }
+            log.add(new Came(System.nanoTime(), "ended"));
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+        for (Socket s : sockets) {
+            s.close();
+        }
+    }
+}
