--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo test lint run measure-plan measure-swarm
+.PHONY: build demo test lint run measure-plan measure-swarm measure-sessions
 
 build:
 	mvn -B -q -DskipTests package
@@ -28,3 +28,8 @@
 measure-swarm:
 	mvn -B -q -DskipTests package dependency:build-classpath -Dmdep.outputFile=target/test.classpath
 	java -cp "target/classes:target/test-classes:$$(cat target/test.classpath)" gatelock.standin.SwarmMeasure
+
+# Memory, echoes and ordinary reqs with idle sessions on one relay.
+measure-sessions:
+	mvn -B -q -DskipTests package dependency:build-classpath -Dmdep.outputFile=target/test.classpath
+	java -cp "target/classes:target/test-classes:$$(cat target/test.classpath)" gatelock.standin.SessionMeasure
--- a/src/main/java/gatelock/boot/Chain.java
+++ b/src/main/java/gatelock/boot/Chain.java
@@ -46,7 +46,8 @@
      * @param admission what the plan in force means; null: there never is one
      * @param sessions null: none are opened
      */
-    Chain(Configuration told, Turn turn, Counters counters, Front front, Admission admission, Sessions sessions) {
+    Chain(Configuration told, Turn turn, Counters counters, Front front, Admission admission,
+        Sessions sessions) {
         this.told = told;
         this.admission = admission;
         this.sessions = sessions;
@@ -54,7 +55,8 @@
         this.counters = counters;
         open = new OpenReqs(counters);
         // An idle connection is closed well before the unit would, so that no req crosses its end.
-        units = new Lines(turn, counters, told.openWithinUs(), told.idleUs() * 3 / 4, 2_000, told.sockets() * 2 / 5);
+        units = new Lines(turn, counters, told.openWithinUs(), told.idleUs() * 3 / 4, 2_000, told.sockets()
+            * 2 / 5);
         RelayBack relayBack = new RelayBack(turn, open, counters);
         Book book = new Book(turn, open, counters, relayBack);
         RouteOut routeOut = new RouteOut(addresses, new SendOff(turn, units, book));
--- a/src/main/java/gatelock/boot/Commands.java
+++ b/src/main/java/gatelock/boot/Commands.java
@@ -36,10 +36,13 @@
 import java.util.TreeMap;
 import java.util.concurrent.Callable;
 
-/** The command line. Each command ends with 0: good, 1: findings or a refusal, 2: input that can't be used. */
+/**
+ * The command line. Each command ends with 0: good, 1: findings or a refusal, 2: input that can't be used.
+ */
 @Command(name = "gatelock", mixinStandardHelpOptions = true, version = "gatelock 0.1.0",
     description = "Routes reqs while builds are released in stages, and votes on them.",
-    exitCodeListHeading = "%nExit codes:%n", exitCodeList = {"0:good", "1:findings, a difference, or a refusal",
+    exitCodeListHeading = "%nExit codes:%n", exitCodeList = {"0:good",
+    "1:findings, a difference, or a refusal",
         "2:input that can't be used"},
     subcommands = {Commands.Serve.class, Commands.Rehearse.class, Commands.Wire.class, Commands.Check.class,
         Commands.Differ.class, Commands.Explains.class, Commands.Schema.class, Commands.Status.class,
@@ -99,12 +102,14 @@
     /** What commands on files share: the deployment that a version is for. */
     abstract static class OnFiles extends Saying {
         @Option(names = "--deployment", paramLabel = "CONFIG", defaultValue = "${env:PROXY_CONFIG}",
-            description = "the relay's configuration, for classes, tenants, zones and kinds (default: $PROXY_CONFIG)")
+            description = "the relay's configuration, for classes, tenants, zones and kinds (default: "
+                + "$PROXY_CONFIG)")
         private Path deployment;
 
         final Grounds grounds() throws Unusable {
             if (deployment == null) {
-                throw new Unusable("no deployment: name a relay's configuration with --deployment or PROXY_CONFIG");
+                throw new Unusable("no deployment: name a relay's configuration with --deployment or "
+                    + "PROXY_CONFIG");
             }
             try {
                 return Configuration.read(deployment).grounds();
@@ -131,7 +136,8 @@
 
         static String lines(Path file, List<Finding> findings) {
             StringBuilder lines = new StringBuilder();
-            findings.forEach(f -> lines.append(lines.length() == 0 ? "" : "\n").append(file).append(':').append(f));
+            findings.forEach(f -> lines.append(lines.length() == 0 ? "" : "\n").append(file).append(':')
+                .append(f));
             return lines.toString();
         }
     }
@@ -144,7 +150,8 @@
         @Option(names = "--cold", description = "without a rehearsal")
         private boolean cold;
 
-        @Option(names = "--operator", paramLabel = "FILE", description = "the operator's own file; without it all that it "
+        @Option(names = "--operator", paramLabel = "FILE",
+            description = "the operator's own file; without it all that it "
             + "names is off")
         private Path operator;
 
@@ -153,11 +160,13 @@
             if (word != null && !word.equals("cold")) {
                 throw new Unusable("serve knows no " + word);
             }
-            return Main.serve(cold || word != null ? Service.Start.COLD : Service.Start.REHEARSED, operator) ? -1 : UNUSABLE;
+            return Main.serve(cold || word != null ? Service.Start.COLD : Service.Start.REHEARSED, operator)
+                ? -1 : UNUSABLE;
         }
     }
 
-    @Command(name = "rehearse", description = "Rehearses on a free port and ends; the build learns from it which classes a "
+    @Command(name = "rehearse", description = "Rehearses on a free port and ends; the build learns from "
+        + "it which classes a "
         + "relay needs.")
     static final class Rehearse extends Saying {
         @Override
@@ -166,7 +175,8 @@
         }
     }
 
-    @Command(name = "wirehost", description = "The decisions on the simulator's wire, on standard input and output.")
+    @Command(name = "wirehost", description = "The decisions on the simulator's wire, on standard input "
+        + "and output.")
     static final class Wire extends Saying {
         @Override
         public Integer call() throws IOException {
@@ -175,7 +185,8 @@
         }
     }
 
-    @Command(name = "check", description = "Checks a version for a deployment and tells all that is wrong with it.")
+    @Command(name = "check", description = "Checks a version for a deployment and tells all that is wrong "
+        + "with it.")
     static final class Check extends OnFiles {
         @Parameters(paramLabel = "FILE")
         private Path file;
@@ -193,7 +204,8 @@
         }
     }
 
-    @Command(name = "diff", description = "What changes for which reqs from one version to another; 1 where something does.")
+    @Command(name = "diff", description = "What changes for which reqs from one version to another; 1 "
+        + "where something does.")
     static final class Differ extends OnFiles {
         @Parameters(index = "0", paramLabel = "OLD")
         private Path before;
@@ -205,7 +217,8 @@
         public Integer call() throws Exception {
             Grounds grounds = grounds();
             List<String> lines = Diff.of(sound(before, grounds), sound(after, grounds), grounds);
-            say(Map.of("differences", lines), lines.isEmpty() ? "no req is treated otherwise" : String.join("\n", lines));
+            say(Map.of("differences", lines), lines.isEmpty() ? "no req is treated otherwise"
+                : String.join("\n", lines));
             return lines.isEmpty() ? GOOD : FINDINGS;
         }
     }
@@ -235,7 +248,8 @@
             Map<String, Object> said = Explain.of(sound(file, grounds), grounds,
                 new Asked(method.toUpperCase(Locale.ROOT), host, path, lower::get));
             StringBuilder text = new StringBuilder();
-            said.forEach((k, v) -> text.append(text.length() == 0 ? "" : "\n").append(k).append(": ").append(v));
+            said.forEach((k, v) -> text.append(text.length() == 0 ? "" : "\n").append(k).append(": ")
+                .append(v));
             say(said, text.toString());
             return said.containsKey("route") ? GOOD : FINDINGS;
         }
@@ -260,17 +274,20 @@
 
     /** What commands to a running relay share. */
     abstract static class Asking extends Saying {
-        @Option(names = "--at", required = true, paramLabel = "ADDRESS", description = "the relay's operator listener")
+        @Option(names = "--at", required = true, paramLabel = "ADDRESS",
+            description = "the relay's operator listener")
         private String at;
 
         final int ask(String method, String what) throws Exception {
             if (!at.matches("[^/\\s:]+:[0-9]{1,5}")) {
                 throw new Unusable("--at wants address:port, found " + at);
             }
-            HttpRequest asked = HttpRequest.newBuilder(URI.create("http://" + at + what)).timeout(Duration.ofSeconds(10))
+            HttpRequest asked = HttpRequest.newBuilder(URI.create("http://" + at + what))
+                .timeout(Duration.ofSeconds(10))
                 .method(method, HttpRequest.BodyPublishers.noBody()).build();
             try {
-                HttpResponse<String> answer = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build()
+                HttpResponse<String> answer = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1)
+                    .build()
                     .send(asked, HttpResponse.BodyHandlers.ofString());
                 Map<String, Object> said = JSON.std.mapFrom(answer.body());
                 StringBuilder text = new StringBuilder();
@@ -303,7 +320,8 @@
         }
     }
 
-    @Command(name = "history", description = "Which versions a running relay had in force, since when, whose and why.")
+    @Command(name = "history", description = "Which versions a running relay had in force, since when, "
+        + "whose and why.")
     static final class History extends Asking {
         @Override
         public Integer call() throws Exception {
--- a/src/main/java/gatelock/boot/Configuration.java
+++ b/src/main/java/gatelock/boot/Configuration.java
@@ -16,7 +16,8 @@
 import java.util.Map;
 
 /** What a relay is told when it starts, read from one JSON file. */
-record Configuration(String name, InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress desk,
+record Configuration(String name, InetSocketAddress listen, InetSocketAddress discovery,
+    InetSocketAddress desk,
                      int sockets, Json known, Json news, Charter charter, long openWithinUs, long idleUs,
                      List<Long> deadlinesUs, Map<String, String> settings) {
 
@@ -32,7 +33,8 @@
 
     /** This one with the addresses of another, the only things that change while a relay runs. */
     Configuration movedTo(Configuration to) {
-        return new Configuration(name, listen, to.discovery, to.desk, sockets, known, news, charter, openWithinUs,
+        return new Configuration(name, listen, to.discovery, to.desk, sockets, known, news, charter,
+            openWithinUs,
             idleUs, deadlinesUs, settings);
     }
 
--- a/src/main/java/gatelock/boot/LogOut.java
+++ b/src/main/java/gatelock/boot/LogOut.java
@@ -20,7 +20,8 @@
 import java.util.logging.Logger;
 
 /**
- * Log lines through logback, plain or as JSON, where the operator's file asks for it. System.Logger stays the seam; what
+ * Log lines through logback, plain or as JSON, where the operator's file asks for it. System.Logger stays the
+ * seam; what
  * comes out of it at java.util.logging goes on from there, and named values of a line become its fields.
  */
 final class LogOut extends Handler {
@@ -49,7 +50,8 @@
             all.removeHandler(before);
         }
         all.addHandler(new LogOut(context));
-        OURS.setLevel(least.toInt() <= Level.DEBUG_INT ? java.util.logging.Level.FINE : java.util.logging.Level.INFO);
+        OURS.setLevel(least.toInt() <= Level.DEBUG_INT ? java.util.logging.Level.FINE
+            : java.util.logging.Level.INFO);
     }
 
     /** Held, as java.util.logging forgets a level that nobody holds. */
@@ -78,7 +80,8 @@
     public void publish(LogRecord line) {
         int weight = line.getLevel().intValue();
         org.slf4j.event.Level level = weight >= 1000 ? org.slf4j.event.Level.ERROR : weight >= 900
-            ? org.slf4j.event.Level.WARN : weight >= 800 ? org.slf4j.event.Level.INFO : org.slf4j.event.Level.DEBUG;
+            ? org.slf4j.event.Level.WARN : weight >= 800 ? org.slf4j.event.Level.INFO
+            : org.slf4j.event.Level.DEBUG;
         LoggingEventBuilder out = context.getLogger(String.valueOf(line.getLoggerName())).atLevel(level);
         Object[] values = line.getParameters();
         String text = String.valueOf(line.getMessage());
--- a/src/main/java/gatelock/boot/Main.java
+++ b/src/main/java/gatelock/boot/Main.java
@@ -22,7 +22,8 @@
     }
 
     /**
-     * The words with which the platform starts a relay go past the command line's library, which costs a start at half a
+     * The words with which the platform starts a relay go past the command line's library, which costs a
+     * start at half a
      * core more than a tenth of a second.
      */
     public static void main(String[] args) throws IOException {
@@ -34,7 +35,8 @@
             case "serve cold" -> end(serve(Service.Start.COLD, null) ? -1 : Commands.UNUSABLE);
             case "rehearse" -> end(serve(Service.Start.REHEARSAL_ONLY, null) ? -1 : Commands.UNUSABLE);
             case "wirehost" -> Wirehost.main(args);
-            default -> end(Commands.run(new PrintWriter(System.out, true), new PrintWriter(System.err, true), args));
+            default -> end(Commands.run(new PrintWriter(System.out, true), new PrintWriter(System.err, true),
+                args));
         }
     }
 
--- a/src/main/java/gatelock/boot/Operator.java
+++ b/src/main/java/gatelock/boot/Operator.java
@@ -14,11 +14,16 @@
 import java.util.List;
 import java.util.stream.Collectors;
 
-/** The operator's own file: all that a relay does beyond what the platform tells it. Without one all of it is off. */
-record Operator(Control control, Sessions sessions, InetSocketAddress listener, boolean jsonLog, String logLevel) {
+/**
+ * The operator's own file: all that a relay does beyond what the platform tells it. Without one all of it is
+ * off.
+ */
+record Operator(Control control, Sessions sessions, InetSocketAddress listener, boolean jsonLog,
+    String logLevel) {
 
     /** Versioned configuration from a control service. */
-    record Control(List<InetSocketAddress> services, long holdMs, int mostBytes, long mostWaitUs, Path directory,
+    record Control(List<InetSocketAddress> services, long holdMs, int mostBytes, long mostWaitUs,
+        Path directory,
                    double mostDropped, int history) {
     }
 
@@ -48,10 +53,12 @@
     }
 
     private static Operator of(JsonNode root, List<Finding> findings) {
-        InetSocketAddress listener = root.has("listener") ? address(root.get("listener").asText(), "/listener", findings)
+        InetSocketAddress listener = root.has("listener") ? address(root.get("listener").asText(),
+            "/listener", findings)
             : null;
         if (listener != null && !listener.getAddress().isLoopbackAddress()) {
-            findings.add(new Finding("O-LISTENER", true, "/listener", 0, 0, "whoever reaches the operator's listener can go "
+            findings.add(new Finding("O-LISTENER", true, "/listener", 0, 0,
+                "whoever reaches the operator's listener can go "
                 + "back to earlier versions, so it must be on loopback", "name an address in 127.0.0.0/8"));
         }
         JsonNode log = root.path("log");
@@ -71,7 +78,8 @@
             services.add(address(node.get("services").get(i).asText(), "/control/services/" + i, findings));
         }
         String directory = node.path("directory").asText(null);
-        return new Control(services, node.path("holdMs").asLong(20_000), node.path("mostBytes").asInt(8 << 20),
+        return new Control(services, node.path("holdMs").asLong(20_000), node.path("mostBytes")
+            .asInt(8 << 20),
             node.path("mostWaitMs").asLong(30_000) * 1000, directory == null ? null : Path.of(directory),
             node.path("mostDropped").asDouble(0.5), node.path("history").asInt(10));
     }
@@ -79,9 +87,11 @@
     private static InetSocketAddress address(String text, String pointer, List<Finding> findings) {
         int colon = text.lastIndexOf(':');
         int port = Integer.parseInt(text.substring(colon + 1));
-        InetSocketAddress address = port > 0 && port < 65_536 ? new InetSocketAddress(text.substring(0, colon), port) : null;
+        InetSocketAddress address = port > 0 && port < 65_536
+            ? new InetSocketAddress(text.substring(0, colon), port) : null;
         if (address == null || address.isUnresolved()) {
-            findings.add(new Finding("O-ADDRESS", true, pointer, 0, 0, text + " is no address that can be reached",
+            findings.add(new Finding("O-ADDRESS", true, pointer, 0, 0, text
+                + " is no address that can be reached",
                 "use a numeric address and a port from 1 to 65535"));
             return new InetSocketAddress("127.0.0.1", 1);
         }
--- a/src/main/java/gatelock/boot/Rehearsal.java
+++ b/src/main/java/gatelock/boot/Rehearsal.java
@@ -66,7 +66,8 @@
         chain.gate.start(turn.nowUs());
         List<Listed> units = new ArrayList<>();
         for (int i = 0; i < UNITS; i++) {
-            units.add(new Listed("rehearsal-" + i, i % 4 == 0 ? 1 : 0, i % 2, i % 2, 0, Listed.Health.READY, 0));
+            units.add(new Listed("rehearsal-" + i, i % 4 == 0 ? 1 : 0, i % 2, i % 2, 0, Listed.Health.READY,
+                0));
             chain.addresses.put(at, units.get(i));
         }
         chain.gate.listed(turn.nowUs(), Gate.ListForm.FULL, units);
@@ -119,9 +120,12 @@
         boolean get = routes.get(route).repeat() == Route.Repeat.RETRIABLE;
         String name = told.settings().get("lanes." + route + ".name");
         String body = get ? "" : "0".repeat(200);
-        String text = (get ? "GET /" : "POST /") + name + " HTTP/1.1\r\nHost: rehearsal\r\nX-Trace-Id: " + mark + n
-            + "\r\nX-Customer: none\r\nCookie: k=" + Integer.toHexString(n % 1000) + "\r\nX-Expires-In-Ms: 500\r\n"
-            + "X-Size-Hint: 2000\r\n" + (get ? "" : "Idempotency-Key: " + n + "\r\nContent-Length: 200\r\n") + "\r\n"
+        String text = (get ? "GET /" : "POST /") + name + " HTTP/1.1\r\nHost: rehearsal\r\nX-Trace-Id: "
+            + mark + n
+            + "\r\nX-Customer: none\r\nCookie: k=" + Integer.toHexString(n % 1000)
+            + "\r\nX-Expires-In-Ms: 500\r\n"
+            + "X-Size-Hint: 2000\r\n" + (get ? "" : "Idempotency-Key: " + n + "\r\nContent-Length: 200\r\n")
+            + "\r\n"
             + body;
         clients.call(at, StandardCharsets.US_ASCII.encode(text), ONE_US,
             new Line.User() {
--- a/src/main/java/gatelock/boot/Service.java
+++ b/src/main/java/gatelock/boot/Service.java
@@ -25,7 +25,8 @@
 final class Service {
     private static final System.Logger LOG = System.getLogger("gatelock.boot");
     /**
-     * After SIGTERM the platform leaves a relay alive for its longest deadline, or this where that is longer, and
+     * After SIGTERM the platform leaves a relay alive for its longest deadline, or this where that is longer,
+     * and
      * for a while on top, in which front and clients hear of it.
      */
     private static final long LONGEST_COUNTED_US = 3_000_000;
@@ -50,7 +51,8 @@
     /** With a rehearsal, without, or nothing but one on a free port. */
     enum Start { REHEARSED, COLD, REHEARSAL_ONLY }
 
-    private Service(Path file, Configuration told, Path operatorsFile, Operator operator, Start how, Turn turn) {
+    private Service(Path file, Configuration told, Path operatorsFile, Operator operator, Start how,
+        Turn turn) {
         this.file = file;
         this.operatorsFile = operatorsFile;
         this.operator = operator;
@@ -65,10 +67,12 @@
         if (operator != null && (operator.jsonLog() || operator.logLevel() != null)) {
             LogOut.through(operator.jsonLog(), operator.logLevel());
         }
-        XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1)
+        XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.builder()
+            .set(Options.WORKER_IO_THREADS, 1)
             .set(Options.WORKER_TASK_CORE_THREADS, 1).set(Options.WORKER_TASK_MAX_THREADS, 1)
             .set(Options.STACK_SIZE, STACK_BYTES).set(Options.WORKER_NAME, "gatelock").getMap());
-        Service service = new Service(file, told, operatorsFile, operator, how, new Turn(worker.getIoThread()));
+        Service service = new Service(file, told, operatorsFile, operator, how,
+            new Turn(worker.getIoThread()));
         CountDownLatch left = new CountDownLatch(1);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             service.turn.soon(() -> service.leave(left::countDown));
@@ -140,8 +144,10 @@
                     new Rehearsal(told, at, turn, front, rehearsal -> serve(rehearsal::before)).begin();
                 }
                 case REHEARSAL_ONLY -> {
-                    InetSocketAddress at = front.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-                    new Rehearsal(told, at, turn, front, rehearsal -> new Thread(() -> System.exit(0)).start())
+                    InetSocketAddress free = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+                    InetSocketAddress at = front.listen(free);
+                    new Rehearsal(told, at, turn, front, rehearsal -> new Thread(() -> System.exit(0))
+                        .start())
                         .begin();
                 }
             }
@@ -155,11 +161,14 @@
             steering = operator == null || operator.control() == null ? null
                 : new Steering(operator, told, turn, counters);
             Operator.Sessions asked = operator == null || steering == null ? null : operator.sessions();
-            int mostSessions = asked == null ? 0 : asked.most() > 0 ? Math.min(asked.most(), told.sockets() / 5)
+            int mostSessions = asked == null ? 0 : asked.most() > 0 ? Math.min(asked.most(),
+                told.sockets() / 5)
                 : told.sockets() / 10;
-            sessions = asked == null ? null : new Sessions(mostSessions, asked.opensPerUnit(), asked.drainUs(),
+            sessions = asked == null ? null : new Sessions(mostSessions, asked.opensPerUnit(),
+                asked.drainUs(),
                 new SplittableRandom(told.charter().seed() + 3));
-            chain = new Chain(told, turn, counters, front, steering == null ? null : steering.admission, sessions);
+            chain = new Chain(told, turn, counters, front, steering == null ? null : steering.admission,
+                sessions);
             chain.start();
             HttpHandler takeIn = before.apply(chain.takeIn);
             front.admit(takeIn, steering == null);
@@ -179,7 +188,8 @@
     }
 
     private void tellCounters() {
-        LOG.log(Level.INFO, counters + "; open reqs " + chain.open.size() + ", clients " + front.size() + ", units "
+        LOG.log(Level.INFO, counters + "; open reqs " + chain.open.size() + ", clients " + front.size()
+            + ", units "
             + chain.units);
         turn.in(COUNTERS_EVERY_US, this::tellCounters);
     }
--- a/src/main/java/gatelock/boot/Steering.java
+++ b/src/main/java/gatelock/boot/Steering.java
@@ -19,7 +19,10 @@
 import java.util.SplittableRandom;
 import java.util.function.BooleanSupplier;
 
-/** Versioned configuration put together as the operator's file asks for it: stream, versions on disk, listener. */
+/**
+ * Versioned configuration put together as the operator's file asks for it: stream, versions on disk,
+ * listener.
+ */
 final class Steering {
     private static final System.Logger LOG = System.getLogger("gatelock.boot");
     /** A relay that has no version yet waits so long for its first one before it says that it is ready. */
@@ -27,8 +30,10 @@
     private static final long FIRST_WAIT_US = 200_000;
     private static final long LOOK_US = 20_000;
     /**
-     * Guards against a version that fills the memory while it is read, of which reqs would be lost: so many bytes of heap
-     * for each of its text, as measured, the plan before it and room for reqs beside. Could turn down a large version
+     * Guards against a version that fills the memory while it is read, of which reqs would be lost: so many
+     * bytes of heap
+     * for each of its text, as measured, the plan before it and room for reqs beside. Could turn down a large
+     * version
      * that would just have fitted.
      */
     private static final long HEAP_FOR_A_BYTE = 64;
@@ -49,21 +54,28 @@
         this.control = operator.control();
         this.listener = operator.listener();
         admission = new Admission(control.mostDropped());
-        int mostBytes = (int) Math.min(control.mostBytes(), Runtime.getRuntime().maxMemory() / HEAP_FOR_A_BYTE);
+        int mostBytes = (int) Math.min(control.mostBytes(), Runtime.getRuntime()
+            .maxMemory() / HEAP_FOR_A_BYTE);
         if (mostBytes < control.mostBytes()) {
-            LOG.log(Level.INFO, "versions of up to " + mostBytes + " bytes are taken, not " + control.mostBytes()
+            LOG.log(Level.INFO, "versions of up to " + mostBytes + " bytes are taken, not "
+                + control.mostBytes()
                 + ": more could fill this relay's memory");
         }
         keep = control.directory() == null ? null : new Keep(control.directory(), mostBytes);
         steward = new Steward(turn, counters, new Succession(control.history()), admission,
             new Compiler(told.grounds()), keep);
         Lines lines = new Lines(turn, counters, OPEN_US, IDLE_US, 0, 2, mostBytes);
-        subscription = new Subscription(turn, counters, lines, steward, new Backoff(FIRST_WAIT_US, control.mostWaitUs(),
-            new SplittableRandom(told.charter().seed() + 2)), told.name(), control.services(), control.holdMs());
+        subscription = new Subscription(turn, counters, lines, steward, new Backoff(FIRST_WAIT_US,
+            control.mostWaitUs(),
+            new SplittableRandom(told.charter().seed() + 2)), told.name(), control.services(),
+            control.holdMs());
         window = new Window(turn, counters, steward, () -> subscription);
     }
 
-    /** Begins with what is on disk, then asks the control service; {@code ready} once there is a version, or none came. */
+    /**
+     * Begins with what is on disk, then asks the control service; {@code ready} once there is a version, or
+     * none came.
+     */
     void start(Runnable ready) throws IOException {
         if (listener != null) {
             LOG.log(Level.INFO, "operator's listener on " + window.listen(listener));
@@ -95,7 +107,8 @@
     private void await(BooleanSupplier what, Runnable then) {
         if (what.getAsBoolean()) {
             if (admission.plan() == null) {
-                LOG.log(Level.WARNING, "no version came in time: reqs go by their class, without limits, until one does");
+                LOG.log(Level.WARNING, "no version came in time: reqs go by their class, without limits, "
+                    + "until one does");
             }
             then.run();
         } else {
--- a/src/main/java/gatelock/boot/Told.java
+++ b/src/main/java/gatelock/boot/Told.java
@@ -17,7 +17,8 @@
     }
 
     @Override
-    public Handle take(long nowUs, String id, int route, int tenant, long key, long leftUs, long costUs, Bounds bounds) {
+    public Handle take(long nowUs, String id, int route, int tenant, long key, long leftUs, long costUs,
+        Bounds bounds) {
         return gate.take(nowUs, id, route, tenant, key, leftUs, costUs, bounds);
     }
 
@@ -33,7 +34,8 @@
     }
 
     @Override
-    public void news(long nowUs, int build, int stage, Phase phase, double cap, long agoUs, VoteAnswer answer) {
+    public void news(long nowUs, int build, int stage, Phase phase, double cap, long agoUs,
+        VoteAnswer answer) {
         gate.news(nowUs, build, stage, phase, cap, agoUs, answer);
         if (answer == VoteAnswer.NOT_ASKED || answer == VoteAnswer.COUNTED) {
             sessions.news(nowUs, build, phase);
--- a/src/main/java/gatelock/control/Keep.java
+++ b/src/main/java/gatelock/control/Keep.java
@@ -17,8 +17,10 @@
 import java.util.List;
 
 /**
- * The last good version on disk, and the one before beside it. A file is one line with the stamp, the text's length
- * and its hash, then the text: what is torn, cut or changed is told apart and passed over. Written beside, forced to
+ * The last good version on disk, and the one before beside it. A file is one line with the stamp, the text's
+ * length
+ * and its hash, then the text: what is torn, cut or changed is told apart and passed over. Written beside,
+ * forced to
  * disk and moved into place. Never used on the I/O thread.
  */
 public final class Keep {
@@ -51,9 +53,11 @@
         try {
             Files.createDirectories(directory);
             Path beside = directory.resolve("last-good.plan.new");
-            String head = MARK + " " + stamp.epoch().born() + " " + stamp.epoch().id() + " " + stamp.number() + " "
+            String head = MARK + " " + stamp.epoch().born() + " " + stamp.epoch().id() + " " + stamp.number()
+                + " "
                 + text.length + " " + stamp.hash() + "\n";
-            try (FileChannel file = FileChannel.open(beside, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
+            try (FileChannel file = FileChannel.open(beside, StandardOpenOption.CREATE,
+                StandardOpenOption.WRITE,
                     StandardOpenOption.TRUNCATE_EXISTING)) {
                 ByteBuffer all = ByteBuffer.allocate(head.length() + text.length)
                     .put(head.getBytes(StandardCharsets.US_ASCII)).put(text).flip();
--- a/src/main/java/gatelock/control/Steward.java
+++ b/src/main/java/gatelock/control/Steward.java
@@ -16,7 +16,8 @@
 import java.util.stream.Collectors;
 
 /**
- * Brings a version from its text into force, from whatever source it came: asked of {@link Succession} what to do with
+ * Brings a version from its text into force, from whatever source it came: asked of {@link Succession} what
+ * to do with
  * it, compiled off the I/O thread, set beside the one in force, then swapped in one step and kept.
  */
 public final class Steward {
@@ -42,7 +43,8 @@
     }
 
     /** @param keep null: nothing is kept on disk */
-    public Steward(Turn turn, Counters counters, Succession succession, Admission admission, Compiler compiler,
+    public Steward(Turn turn, Counters counters, Succession succession, Admission admission,
+        Compiler compiler,
                    Keep keep) {
         this.turn = turn;
         this.counters = counters;
@@ -82,7 +84,8 @@
                 counters.add("versions out of order");
                 String answer = meeting.name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
                 if (succession.met().get(meeting) == 1) {
-                    LOG.log(Level.WARNING, "version {0} is not applied, {1}: {2} stays in force", Named.of("version", stamp),
+                    LOG.log(Level.WARNING, "version {0} is not applied, {1}: {2} stays in force",
+                        Named.of("version", stamp),
                         Named.of("reason", answer), Named.of("held", succession.held()));
                 }
                 then.accept(new Told(false, answer, List.of(), false));
@@ -94,7 +97,8 @@
         long fromUs = turn.nowUs();
         turn.aside(() -> compiler.compile(stamp.epoch(), stamp.number(), text), Compiler.FAILED, compiled -> {
             latestCompileUs = turn.nowUs() - fromUs;
-            then.accept(compiled.good() ? beside(compiled.plan(), text, compiled.findings(), "control service")
+            then.accept(compiled.good() ? beside(compiled.plan(), text, compiled.findings(),
+                "control service")
                 : refuse(stamp, compiled.findings(), true));
         });
     }
@@ -112,7 +116,8 @@
             turn.aside(() -> keep.keep(plan.stamp(), text), "it failed", failed -> {
                 if (failed != null) {
                     counters.add("versions not kept");
-                    LOG.log(Level.WARNING, "version {0} is in force and not kept on disk: {1}", Named.of("version",
+                    LOG.log(Level.WARNING, "version {0} is in force and not kept on disk: {1}",
+                        Named.of("version",
                         plan.stamp()), Named.of("reason", failed));
                 }
             });
@@ -125,7 +130,8 @@
         admission.follow(fromUs, plan);
         longestSwapUs = Math.max(longestSwapUs, turn.nowUs() - fromUs);
         counters.add("versions applied");
-        LOG.log(Level.INFO, "version {0} in force, {1} routes, from {2}, by {3}: {4}", Named.of("version", plan.stamp()),
+        LOG.log(Level.INFO, "version {0} in force, {1} routes, from {2}, by {3}: {4}", Named.of("version",
+            plan.stamp()),
             Named.of("routes", plan.routes()), Named.of("source", why), Named.of("by", plan.by()),
             Named.of("note", plan.note()));
     }
@@ -133,17 +139,21 @@
     private Told refuse(Stamp stamp, List<Finding> findings, boolean always) {
         succession.bad(stamp, findings, always);
         counters.add("versions refused");
-        LOG.log(Level.WARNING, "version {0} is turned down, {1} stays in force: {2}", Named.of("version", stamp),
-            Named.of("held", succession.inForce()), Named.of("reason", findings.stream().filter(Finding::grave)
+        LOG.log(Level.WARNING, "version {0} is turned down, {1} stays in force: {2}", Named.of("version",
+            stamp),
+            Named.of("held", succession.inForce()), Named.of("reason",
+            findings.stream().filter(Finding::grave)
             .limit(LOGGED).map(Finding::toString).collect(Collectors.joining(" | "))));
         return new Told(false, "refused", findings, true);
     }
 
     /** A version from disk, before the first one from a control service; tells whether it is in force now. */
     public boolean recovered(Keep.Kept kept) {
-        Compiler.Compiled compiled = compiler.compile(kept.stamp().epoch(), kept.stamp().number(), kept.text());
+        Compiler.Compiled compiled = compiler.compile(kept.stamp().epoch(), kept.stamp().number(),
+            kept.text());
         if (!compiled.good()) {
-            LOG.log(Level.WARNING, "version {0} from disk is not sound any more: {1}", Named.of("version", kept.stamp()),
+            LOG.log(Level.WARNING, "version {0} from disk is not sound any more: {1}", Named.of("version",
+                kept.stamp()),
                 Named.of("reason", compiled.findings()));
             return false;
         }
@@ -161,7 +171,8 @@
             then.accept("no version " + number + " is remembered; see history");
             return;
         }
-        turn.aside(() -> compiler.compile(past.stamp().epoch(), number, past.text()), Compiler.FAILED, compiled -> {
+        turn.aside(() -> compiler.compile(past.stamp().epoch(), number, past.text()), Compiler.FAILED,
+            compiled -> {
             if (!compiled.good()) {
                 then.accept("version " + number + " is not sound any more: " + compiled.findings());
                 return;
@@ -175,6 +186,7 @@
     /** The control service leads again. */
     public void release() {
         succession.release();
-        LOG.log(Level.INFO, "the control service leads again; {0} is in force", Named.of("version", succession.inForce()));
+        LOG.log(Level.INFO, "the control service leads again; {0} is in force", Named.of("version",
+            succession.inForce()));
     }
 }
--- a/src/main/java/gatelock/control/Subscription.java
+++ b/src/main/java/gatelock/control/Subscription.java
@@ -25,9 +25,12 @@
 import java.util.Map;
 
 /**
- * The stream of versions from a control service: one call after the other, each of which tells what this relay holds and
- * how it met the version before, and waits for a later one. The semantics are xDS's, state of the world (version, nonce, ACK
- * as the same request with the new version, NACK with an error's detail, resume by the version held); the framing is
+ * The stream of versions from a control service: one call after the other, each of which tells what this
+ * relay holds and
+ * how it met the version before, and waits for a later one. The semantics are xDS's, state of the world
+ * (version, nonce, ACK
+ * as the same request with the new version, NACK with an error's detail, resume by the version held); the
+ * framing is
  * ours: docs/design/versioned-configuration.md.
  */
 public final class Subscription {
@@ -58,7 +61,8 @@
      * @param services in the order in which they are tried
      * @param holdMs how long a call may wait for a later version
      */
-    public Subscription(Turn turn, Counters counters, Lines lines, Steward steward, Backoff backoff, String relay,
+    public Subscription(Turn turn, Counters counters, Lines lines, Steward steward, Backoff backoff,
+        String relay,
                         List<InetSocketAddress> services, long holdMs) {
         this.turn = turn;
         this.counters = counters;
@@ -130,7 +134,8 @@
         again = null;
         askedUs = turn.nowUs();
         byte[] body = bytes(says());
-        String head = "POST /v1/plans HTTP/1.1\r\nHost: control\r\nContent-Type: application/json\r\nContent-Length: "
+        String head = "POST /v1/plans HTTP/1.1\r\nHost: control\r\nContent-Type: "
+            + "application/json\r\nContent-Length: "
             + body.length + "\r\n\r\n";
         byte[] first = head.getBytes(StandardCharsets.US_ASCII);
         ByteBuffer call = ByteBuffer.allocate(first.length + body.length).put(first).put(body).flip();
@@ -182,7 +187,8 @@
         }
         Stamp stamp = stamp(answer);
         if (answer.status() != 200 || stamp == null) {
-            failed("answer " + answer.status() + (answer.status() == 200 ? " without epoch, version and nonce" : ""));
+            failed("answer " + answer.status() + (answer.status() == 200
+                ? " without epoch, version and nonce" : ""));
             return false;
         }
         nonce = answer.header("X-Plan-Nonce");
@@ -201,7 +207,8 @@
             long born = Long.parseLong(answer.header("X-Plan-Epoch-Born"));
             long number = Long.parseLong(answer.header("X-Plan-Version"));
             String nonce = answer.header("X-Plan-Nonce");
-            boolean odd = id == null || !id.matches("[A-Za-z0-9._-]{1,64}") || nonce == null || nonce.length() > MOST_WORDS
+            boolean odd = id == null || !id.matches("[A-Za-z0-9._-]{1,64}") || nonce == null
+                || nonce.length() > MOST_WORDS
                 || number < 1 || born < 0;
             return odd ? null : new Stamp(new Stamp.Epoch(born, id), number, Stamp.hash(answer.body()));
         } catch (NumberFormatException e) {
@@ -209,7 +216,9 @@
         }
     }
 
-    /** What came of a version is told at once where it is new, and after a while where it tells nothing new. */
+    /**
+     * What came of a version is told at once where it is new, and after a while where it tells nothing new.
+     */
     private void settled(Steward.Told told) {
         this.told = told;
         if (told.isNew()) {
@@ -223,7 +232,8 @@
     private void failed(String why) {
         counters.add("control failed");
         if (backoff.failures() == 0 || backoff.failures() == 4) {
-            LOG.log(Level.WARNING, "control service {0}: {1}; {2} stays in force", Named.of("service", service()),
+            LOG.log(Level.WARNING, "control service {0}: {1}; {2} stays in force", Named.of("service",
+                service()),
                 Named.of("reason", why), Named.of("version", steward.succession().inForce()));
         }
         at = (at + 1) % services.size();
--- a/src/main/java/gatelock/control/Window.java
+++ b/src/main/java/gatelock/control/Window.java
@@ -34,7 +34,8 @@
 import java.util.function.Supplier;
 
 /**
- * The operator's listener, on loopback: status, history, the text of a version, going back to one and letting the control
+ * The operator's listener, on loopback: status, history, the text of a version, going back to one and letting
+ * the control
  * service lead again. Few connections at a time; nothing of it is on the way of reqs.
  */
 public final class Window {
@@ -86,7 +87,8 @@
                 }
                 answer(exchange, get ? 405 : 200, status());
             }
-            default -> answer(exchange, 404, Map.of("error", "there is /status, /history, /version, /back and /release"));
+            default -> answer(exchange, 404, Map.of("error",
+                "there is /status, /history, /version, /back and /release"));
         }
     }
 
@@ -98,7 +100,8 @@
         status.put("inForce", succession.inForce() == null ? null : succession.inForce().toString());
         status.put("held", succession.held() == null ? null : succession.held().toString());
         List<Succession.Past> past = succession.history();
-        status.put("inForceForS", past.isEmpty() ? null : (nowUs - past.get(past.size() - 1).sinceUs()) / 1_000_000);
+        status.put("inForceForS", past.isEmpty() ? null : (nowUs
+            - past.get(past.size() - 1).sinceUs()) / 1_000_000);
         status.put("pinned", succession.pinned());
         status.put("routes", plan == null ? 0 : plan.routes());
         status.put("refusals", succession.refusals());
@@ -148,9 +151,11 @@
             return;
         }
         String why = first(exchange, "why");
-        exchange.dispatch(SameThreadExecutor.INSTANCE, () -> steward.goBack(number(exchange), why == null ? "" : why, wrong -> {
+        exchange.dispatch(SameThreadExecutor.INSTANCE, () -> steward.goBack(number(exchange), why == null
+            ? "" : why, wrong -> {
             try {
-                answer(exchange, wrong == null ? 200 : 409, wrong == null ? status() : Map.of("error", wrong));
+                answer(exchange, wrong == null ? 200 : 409, wrong == null ? status() : Map.of("error",
+                    wrong));
             } catch (IOException e) {
                 turn.soon(exchange::endExchange);
             }
@@ -170,9 +175,11 @@
         }
     }
 
-    private static void answer(HttpServerExchange exchange, int status, Map<String, Object> said) throws IOException {
+    private static void answer(HttpServerExchange exchange, int status, Map<String, Object> said)
+            throws IOException {
         exchange.setStatusCode(status);
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
-        exchange.getResponseSender().send(ByteBuffer.wrap((JSON.std.asString(said) + "\n").getBytes(StandardCharsets.UTF_8)));
+        exchange.getResponseSender().send(ByteBuffer.wrap((JSON.std.asString(said) + "\n")
+            .getBytes(StandardCharsets.UTF_8)));
     }
 }
--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -223,7 +223,7 @@
         return rq;
     }
 
-    /** Rules 3 and 5 for what goes to a unit without being placed: nothing to one that leaves, the trial within its cap. */
+    /** Rules 3 and 5 for what is not placed: nothing to a unit that leaves, to the trial within its cap. */
     @Override
     public Passing message(long nowUs, String unit, int route, boolean first) {
         clock(nowUs);
@@ -602,7 +602,8 @@
                 Unit u = ready.get(i);
                 boolean tryBad = rq.route.repeat() == Route.Repeat.RETRIABLE && rq.tries.isEmpty()
                     && chance.nextDouble() < TRY_BAD;
-                if (rq.bounds.reaches(u.at.unit()) && u.hasRoom(rq, claim) && rq.mayRepeatAt(u) && rq.tries.stream().noneMatch(t -> t.unit == u)
+                if (rq.bounds.reaches(u.at.unit()) && u.hasRoom(rq, claim) && rq.mayRepeatAt(u)
+                        && rq.tries.stream().noneMatch(t -> t.unit == u)
                         && (!someBad || tryBad || !u.looksBad())) {
                     boolean open = few && u.connected();
                     boolean better = best == null || (few && open != best.connected() ? open
--- a/src/main/java/gatelock/kept/Clients.java
+++ b/src/main/java/gatelock/kept/Clients.java
@@ -11,20 +11,26 @@
 
 /**
  * All client connections, each in one state, and the one place that says whether one of them may be ended. A
- * connection that owes its client an answer is never ended here, and one that stands without a req only after a
+ * connection that owes its client an answer is never ended here, and one that stands without a req only after
+ * a
  * look at what has come on it and was not read yet.
  *
- * <p>Guards against a relay that is late: a req may lie unread while the timer that ends its connection is due.
- * Should hold for any order of arrivals, timers and answers. Costs a client that is really idle nothing, and one that
+ * <p>Guards against a relay that is late: a req may lie unread while the timer that ends its connection is
+ * due.
+ * Should hold for any order of arrivals, timers and answers. Costs a client that is really idle nothing, and
+ * one that
  * drips bytes at most one more look.
  *
  * @param <C> a connection; equal only to itself
  */
 public final class Clients<C> {
     /**
-     * Guards against clients that say nothing, or never come to the end of a head or body, and those that don't
-     * read their answer: a connection has so long until its first req is whole, or a later one from its first byte.
-     * Should hold against any way of keeping a connection for nothing; could harm a client on a network so slow
+     * Guards against clients that say nothing, or never come to the end of a head or body, and those that
+     * don't
+     * read their answer: a connection has so long until its first req is whole, or a later one from its first
+     * byte.
+     * Should hold against any way of keeping a connection for nothing; could harm a client on a network so
+     * slow
      * that one req takes as long.
      */
     public static final long WHOLE_WITHIN_US = 2_500_000;
@@ -150,7 +156,8 @@
     public void whole(C connection) {
         Standing standing = all.get(connection);
         if (standing != null) {
-            counters.holds(standing.state == State.COMING, "a req whole on a connection on which none was coming");
+            counters.holds(standing.state == State.COMING,
+                "a req whole on a connection on which none was coming");
             move(connection, standing, State.OWED, Long.MAX_VALUE);
         }
     }
@@ -191,7 +198,8 @@
     }
 
     /**
-     * Ends those whose time is up. What is in the middle of something is ended at the second look after that: in
+     * Ends those whose time is up. What is in the middle of something is ended at the second look after that:
+     * in
      * between the relay has read and written what it could.
      */
     public void endOverdue(long nowUs) {
@@ -213,7 +221,10 @@
         }
     }
 
-    /** Of a first req the time runs from accept, of a later one from its first byte: only these are not in order. */
+    /**
+     * Of a first req the time runs from accept, of a later one from its first byte: only these are not in
+     * order.
+     */
     private List<C> overdue(State state, long nowUs) {
         List<C> due = new ArrayList<>();
         for (C connection : by.get(state)) {
@@ -227,8 +238,10 @@
     }
 
     /**
-     * Guards against connections that keep others from being accepted, or clients from opening one more. Beyond
-     * what is held with ease, those that are silent for a while go first, then those between reqs; beyond the most,
+     * Guards against connections that keep others from being accepted, or clients from opening one more.
+     * Beyond
+     * what is held with ease, those that are silent for a while go first, then those between reqs; beyond the
+     * most,
      * any that is silent; the longest waiting first. A connection that has just come is silent only until its
      * req is read. Could harm a client whose first req is slow to come while very many others connect.
      */
@@ -268,7 +281,8 @@
     }
 
     /**
-     * Ends one if that may be; tells whether it did. A client that left and one that was refused may be ended in
+     * Ends one if that may be; tells whether it did. A client that left and one that was refused may be ended
+     * in
      * any state: nothing is owed there.
      */
     public boolean end(long nowUs, C connection, Why why) {
--- a/src/main/java/gatelock/kept/Named.java
+++ b/src/main/java/gatelock/kept/Named.java
@@ -1,7 +1,8 @@
 package gatelock.kept;
 
 /**
- * A value in a log line that bears a name, so that a structured log has it as a field. Goes among the parameters of a
+ * A value in a log line that bears a name, so that a structured log has it as a field. Goes among the
+ * parameters of a
  * System.Logger call; a plain log shows the value.
  */
 public record Named(String name, Object value) {
--- a/src/main/java/gatelock/plan/Admission.java
+++ b/src/main/java/gatelock/plan/Admission.java
@@ -13,8 +13,10 @@
 import java.util.TreeMap;
 
 /**
- * What the plan in force means for each req: its entry, its limits, the units it may reach, its further tries. A req
- * ends under the plan that took it; what limits and budgets have counted goes on from plan to plan. One thread calls
+ * What the plan in force means for each req: its entry, its limits, the units it may reach, its further
+ * tries. A req
+ * ends under the plan that took it; what limits and budgets have counted goes on from plan to plan. One
+ * thread calls
  * it.
  */
 public final class Admission {
@@ -134,7 +136,10 @@
             }
         }
 
-        /** Its pool may be another one's fallback by now, or gone with its plan: the one it was taken for holds. */
+        /**
+         * Its pool may be another one's fallback by now, or gone with its plan: the one it was taken for
+         * holds.
+         */
         @Override
         public boolean reaches(String unit) {
             return pool == null || (way.plan == plan ? muster.stands(pool, unit)
@@ -177,7 +182,8 @@
     }
 
     /**
-     * 0, or the status with which a req is turned away whatever its class: a unit may read its path as another's, or
+     * 0, or the status with which a req is turned away whatever its class: a unit may read its path as
+     * another's, or
      * no entry is for it and the plan refuses such.
      */
     public int refusal(Asked asked, Way way) {
@@ -188,7 +194,8 @@
     /** A req that is whole asks to be taken: it passes, waits or is shed at once. */
     public Pass ask(long nowUs, Way way, int tenant, long endUs, Waiting waiting) {
         traffic.computeIfAbsent(way.entry.name(), n -> new Rate()).add(nowUs, TRAFFIC_US);
-        // It may have been matched before another version came in force; it goes on by the one it was matched by.
+        // It may have been matched before another version came in force; it goes on by the one it was matched
+        // by.
         Pass pass = new Pass(nowUs, way);
         Limits.Told told = limits.ask(nowUs, current(way), way.entry.name(), tenant, endUs, waiting);
         pass.ticket = told.ticket();
@@ -218,13 +225,16 @@
     }
 
     /** The list of units, or a part of it; {@code labels} that units bear, by unit. */
-    public void listed(long nowUs, Gate.ListForm form, List<Listed> entries, Map<String, Map<String, String>> labels) {
+    public void listed(long nowUs,
+        Gate.ListForm form, List<Listed> entries, Map<String, Map<String, String>> labels) {
         muster.listed(nowUs, form, entries, labels);
     }
 
     /**
-     * What makes a plan that is sound by itself a danger beside the one in force. Guards against a version made from an
-     * old or cut copy, which is the most that goes wrong with configurations that are well formed. Should hold
+     * What makes a plan that is sound by itself a danger beside the one in force. Guards against a version
+     * made from an
+     * old or cut copy, which is the most that goes wrong with configurations that are well formed. Should
+     * hold
      * whatever was lost; harms an operator who means it, who says so under removes, or does it in two steps.
      */
     public List<Finding> beside(long nowUs, Plan next) {
@@ -234,7 +244,8 @@
         }
         for (Map.Entry<String, Rate> e : new TreeMap<>(traffic).entrySet()) {
             if (plan.entries().containsKey(e.getKey()) && !next.entries().containsKey(e.getKey())
-                    && !next.removes().contains(e.getKey()) && e.getValue().read(nowUs, TRAFFIC_US) >= SOME_TRAFFIC) {
+                    && !next.removes().contains(e.getKey()) && e.getValue().read(nowUs,
+                    TRAFFIC_US) >= SOME_TRAFFIC) {
                 findings.add(new Finding("B-TRAFFIC", true, "/routes", 0, 0, "route " + e.getKey()
                     + " is gone, and had reqs in the last minute", "name it under removes, or put it back"));
             }
--- a/src/main/java/gatelock/plan/Backoff.java
+++ b/src/main/java/gatelock/plan/Backoff.java
@@ -3,7 +3,8 @@
 import java.util.random.RandomGenerator;
 
 /**
- * How long to wait before the next attempt: drawn evenly from nothing to a bound that doubles with each failure ("full
+ * How long to wait before the next attempt: drawn evenly from nothing to a bound that doubles with each
+ * failure ("full
  * jitter"), so that many relays that lost the same service don't come back to it together.
  */
 public final class Backoff {
--- a/src/main/java/gatelock/plan/Checks.java
+++ b/src/main/java/gatelock/plan/Checks.java
@@ -64,7 +64,8 @@
     private String some(String section) {
         List<String> names = new ArrayList<>();
         section(section).fieldNames().forEachRemaining(names::add);
-        return names.isEmpty() ? "none, as it is empty" : names.stream().limit(10).collect(Collectors.joining(", "));
+        return names.isEmpty() ? "none, as it is empty" : names.stream().limit(10)
+            .collect(Collectors.joining(", "));
     }
 
     private void defaults() {
@@ -93,11 +94,13 @@
                 named("pools", pool.get("fallback").asText(), pointer + "/fallback", "M-FALLBACK");
                 List<String> loop = loop(e.getKey());
                 if (!loop.isEmpty()) {
-                    findings.add(Draft.grave("M-FALLBACK-LOOP", pointer + "/fallback", "its fallbacks lead back to it: "
+                    findings.add(Draft.grave("M-FALLBACK-LOOP", pointer + "/fallback",
+                        "its fallbacks lead back to it: "
                         + String.join(" > ", loop), "let one of them have no fallback, or another"));
                 }
             } else if (pool.has("leastShare")) {
-                findings.add(Draft.warning("M-LEAST", pointer + "/leastShare", "a least share without a fallback does "
+                findings.add(Draft.warning("M-LEAST", pointer + "/leastShare",
+                    "a least share without a fallback does "
                     + "nothing", "name a fallback, or take it out"));
             }
         });
@@ -113,12 +116,14 @@
             if (known.contains(name)) {
                 fits++;
             } else {
-                findings.add(Draft.warning("M-UNKNOWN", pointer + "/" + field + "/" + i, "the deployment has no " + name
+                findings.add(Draft.warning("M-UNKNOWN", pointer + "/" + field + "/" + i,
+                    "the deployment has no " + name
                     + " among its " + field, "name one of " + String.join(", ", known)));
             }
         }
         if (fits == 0) {
-            findings.add(Draft.grave("M-POOL-EMPTY", pointer + "/" + field, "no unit can ever be in this pool",
+            findings.add(Draft.grave("M-POOL-EMPTY", pointer + "/" + field,
+                "no unit can ever be in this pool",
                 "name one of " + String.join(", ", known)));
         }
     }
@@ -154,16 +159,19 @@
             JsonNode limit = e.getValue();
             for (String field : List.of("ratePerS", "inFlight")) {
                 if (limit.has(field) && limit.get(field).asDouble() <= 0) {
-                    findings.add(Draft.grave("M-ZERO", pointer + "/" + field, "a limit of zero sheds every req",
+                    findings.add(Draft.grave("M-ZERO", pointer + "/" + field,
+                        "a limit of zero sheds every req",
                         "give it more than 0, or take the routes out that lead there"));
                 }
             }
             if (limit.has("burst") && limit.get("burst").asDouble() < 1) {
-                findings.add(Draft.grave("M-ZERO", pointer + "/burst", "with a burst under 1 no req ever passes",
+                findings.add(Draft.grave("M-ZERO", pointer + "/burst",
+                    "with a burst under 1 no req ever passes",
                     "give it 1 or more"));
             }
             if (limit.has("burst") && !limit.has("ratePerS")) {
-                findings.add(Draft.warning("M-BURST", pointer + "/burst", "a burst without a rate does nothing",
+                findings.add(Draft.warning("M-BURST", pointer + "/burst",
+                    "a burst without a rate does nothing",
                     "give it ratePerS, or take it out"));
             }
         });
@@ -174,7 +182,8 @@
         for (Sheet.Line line : sheet.lines()) {
             String at = line.pointer();
             if (!names.add(line.name())) {
-                findings.add(Draft.grave("M-NAME-TWICE", at + "/name", "an earlier route is called " + line.name(),
+                findings.add(Draft.grave("M-NAME-TWICE", at + "/name", "an earlier route is called "
+                    + line.name(),
                     "give each route a name of its own"));
             }
             if (line.inherits() != null && line.parent() == null) {
@@ -207,8 +216,10 @@
             Route terms = grounds.terms().get(classNo);
             method(line, terms);
             if (line.sessions() != null && terms.repeat() != Route.Repeat.RETRIABLE) {
-                findings.add(Draft.grave("M-SESSION", at(line, "sessions"), "sessions are opened by GET, and reqs of class "
-                    + line.className() + " come by POST", "give the route a retriable class, or take sessions out"));
+                findings.add(Draft.grave("M-SESSION", at(line, "sessions"),
+                    "sessions are opened by GET, and reqs of class "
+                    + line.className() + " come by POST",
+                    "give the route a retriable class, or take sessions out"));
             }
             if (poolStands && retriesStand && terms.repeat() == Route.Repeat.NON_RETRIABLE) {
                 once(line);
@@ -228,8 +239,10 @@
     private void waits(Sheet.Line line, String limit, long deadlineUs) {
         double waitMs = section("limits").path(limit).path("queue").path("waitMs").asDouble(0);
         if (deadlineUs > 0 && waitMs * 1000 >= deadlineUs) {
-            findings.add(Draft.grave("M-WAIT", "/limits/" + Draft.escaped(limit) + "/queue/waitMs", "reqs of route "
-                + line.name() + " would wait for " + (long) waitMs + " ms, and their time is up after " + deadlineUs / 1000,
+            findings.add(Draft.grave("M-WAIT", "/limits/" + Draft.escaped(limit) + "/queue/waitMs",
+                "reqs of route "
+                + line.name() + " would wait for " + (long) waitMs + " ms, and their time is up after "
+                + deadlineUs / 1000,
                 "wait for less, or give that route another limit"));
         }
     }
@@ -239,14 +252,18 @@
         String method = terms.repeat() == Route.Repeat.RETRIABLE ? "GET" : "POST";
         Set<String> methods = line.match().methods();
         if (!methods.isEmpty() && !methods.contains(method)) {
-            findings.add(Draft.grave("M-METHOD", at(line, "methods"), "reqs of class " + line.className() + " come by "
-                + method + " only, so no req of this route is ever taken", "name " + method + ", or another class"));
+            findings.add(Draft.grave("M-METHOD", at(line, "methods"), "reqs of class " + line.className()
+                + " come by "
+                + method + " only, so no req of this route is ever taken", "name " + method
+                + ", or another class"));
         }
     }
 
     /**
-     * Rule 2, before anything is sent: no way by which a non-retriable req gets to a policy under which a req that may
-     * have run is sent again. The module would not do so; a version that asks for it is a mistake of its author's.
+     * Rule 2, before anything is sent: no way by which a non-retriable req gets to a policy under which a req
+     * that may
+     * have run is sent again. The module would not do so; a version that asks for it is a mistake of its
+     * author's.
      */
     private void once(Sheet.Line line) {
         if (line.retries() != null) {
@@ -273,9 +290,12 @@
     private void retrying(Sheet.Line line, String retries, String pointer, String way) {
         JsonNode node = section("retries").path(retries);
         if (!node.isMissingNode() && Compiler.retries(retries, node).mayRunTwice()) {
-            findings.add(Draft.grave("M-ONCE", pointer, "route " + line.name() + " is of the non-retriable class "
-                + line.className() + " and reaches the policy " + retries + " " + way + ", which tries again what may have run",
-                "give the route a policy of its own with tries 1, or with after turned-away and not-connected only"));
+            findings.add(Draft.grave("M-ONCE", pointer, "route " + line.name()
+                + " is of the non-retriable class "
+                + line.className() + " and reaches the policy " + retries + " " + way
+                + ", which tries again what may have run",
+                "give the route a policy of its own with tries 1, or with after turned-away and "
+                + "not-connected only"));
         }
     }
 
@@ -296,9 +316,12 @@
             || grounds.zones().size() <= 1 && terms.group() == Route.Group.ZONE;
         boolean single = terms.group() == Route.Group.CELL && chain.size() <= 1;
         if (!zoned && !single) {
-            findings.add(Draft.grave("M-GROUP", at(line, "pool"), "route " + line.name() + " is of the deduped class "
-                + line.className() + ", whose repeats one " + (terms.group() == Route.Group.ZONE ? "zone" : "cell")
-                + " remembers, and its pools " + (any && chain.isEmpty() ? "(none is named: all units)" : chain.toString())
+            findings.add(Draft.grave("M-GROUP", at(line, "pool"), "route " + line.name()
+                + " is of the deduped class "
+                + line.className() + ", whose repeats one " + (terms.group() == Route.Group.ZONE ? "zone"
+                : "cell")
+                + " remembers, and its pools " + (any && chain.isEmpty() ? "(none is named: all units)"
+                : chain.toString())
                 + " reach more than one",
                 terms.group() == Route.Group.ZONE ? "give it pools of one zone, its fallbacks too"
                     : "give its pool no fallback"));
@@ -313,13 +336,15 @@
             int place = i;
             Match match = matches.get(i);
             int[] looked = new int[1];
-            int by = table.firstAlong(match.segments(), (p, m) -> p < place && looked[0]++ < LOOKED_AT && m.covers(match));
+            int by = table.firstAlong(match.segments(), (p, m) -> p < place && looked[0]++ < LOOKED_AT
+                && m.covers(match));
             if (by >= 0 && by < place) {
                 findings.add(Draft.grave("M-SHADOWED", real.get(i).pointer(), "no req ever meets route "
                     + real.get(i).name() + ": all of its go to route " + real.get(by).name() + " before it",
                     "put it before that one, or take it out"));
             } else if (looked[0] >= LOOKED_AT) {
-                findings.add(Draft.warning("M-UNCHECKED", real.get(i).pointer(), "whether an earlier route shadows "
+                findings.add(Draft.warning("M-UNCHECKED", real.get(i).pointer(),
+                    "whether an earlier route shadows "
                     + real.get(i).name() + " was not checked: too many share its path", "part them by path"));
             }
         }
@@ -337,12 +362,14 @@
     }
 
     private void unused() {
-        Map<String, String> sections = new HashMap<>(Map.of("pools", "pool", "limits", "limit", "retries", "policy"));
+        Map<String, String> sections = new HashMap<>(Map.of("pools", "pool", "limits", "limit", "retries",
+            "policy"));
         for (String section : List.of("pools", "limits", "retries")) {
             for (Iterator<String> names = section(section).fieldNames(); names.hasNext(); ) {
                 String name = names.next();
                 if (!used.contains(section + "/" + name)) {
-                    findings.add(Draft.warning("M-UNUSED", "/" + section + "/" + Draft.escaped(name), "no route uses this "
+                    findings.add(Draft.warning("M-UNUSED", "/" + section + "/" + Draft.escaped(name),
+                        "no route uses this "
                         + sections.get(section), "take it out, or name it where it was meant"));
                 }
             }
--- a/src/main/java/gatelock/plan/Compiler.java
+++ b/src/main/java/gatelock/plan/Compiler.java
@@ -15,7 +15,9 @@
 import java.util.Set;
 import java.util.TreeMap;
 
-/** Makes a {@link Plan} of a text, or says all that is wrong with it. May run on any thread; keeps nothing. */
+/**
+ * Makes a {@link Plan} of a text, or says all that is wrong with it. May run on any thread; keeps nothing.
+ */
 public final class Compiler {
     /** Of more findings the first are told, and how many there are. */
     private static final int MOST_FINDINGS = 200;
@@ -61,7 +63,8 @@
             return List.copyOf(findings);
         }
         List<Finding> first = new ArrayList<>(findings.subList(0, MOST_FINDINGS));
-        first.add(new Finding("G-MORE", false, "", 0, 0, findings.size() - MOST_FINDINGS + " more findings are not told",
+        first.add(new Finding("G-MORE", false, "", 0, 0, findings.size() - MOST_FINDINGS
+            + " more findings are not told",
             "mend these first"));
         return first;
     }
@@ -69,9 +72,11 @@
     private Plan plan(Stamp stamp, Sheet sheet) {
         JsonNode root = sheet.root();
         Map<String, Limit> limits = new LinkedHashMap<>();
-        root.path("limits").properties().forEach(e -> limits.put(e.getKey(), limit(e.getKey(), e.getValue())));
+        root.path("limits").properties().forEach(e -> limits.put(e.getKey(),
+            limit(e.getKey(), e.getValue())));
         Map<String, Retries> retries = new LinkedHashMap<>();
-        root.path("retries").properties().forEach(e -> retries.put(e.getKey(), retries(e.getKey(), e.getValue())));
+        root.path("retries").properties().forEach(e -> retries.put(e.getKey(),
+            retries(e.getKey(), e.getValue())));
         Map<String, Pool> pools = new LinkedHashMap<>();
         Map<String, Retries> poolRetries = new HashMap<>();
         root.path("pools").properties().forEach(e -> {
@@ -84,8 +89,10 @@
         for (Sheet.Line line : sheet.lines()) {
             if (!line.isAbstract()) {
                 List<Limit> its = line.limits().stream().map(limits::get).toList();
-                entries.add(new Entry(line.name(), entries.size(), line.match(), grounds.classes().get(line.className()),
-                    line.pool(), its, line.retries() == null ? null : retries.get(line.retries()), line.sessions()));
+                entries.add(new Entry(line.name(), entries.size(), line.match(), grounds.classes()
+                    .get(line.className()),
+                    line.pool(), its, line.retries() == null ? null : retries.get(line.retries()),
+                    line.sessions()));
             }
         }
         String byDefault = sheet.byDefault("retries");
@@ -126,14 +133,16 @@
             after.add(Ending.TURNED_AWAY);
             after.add(Ending.NOT_CONNECTED);
         }
-        return new Retries(name, node.get("tries").asInt(), after, (long) (node.path("tryMs").asDouble(0) * 1000),
+        return new Retries(name, node.get("tries").asInt(), after, (long) (node.path("tryMs").asDouble(0)
+            * 1000),
             node.path("budget").asDouble(1));
     }
 
     private Pool pool(String name, JsonNode node) {
         Map<String, String> labels = new TreeMap<>();
         node.path("labels").properties().forEach(e -> labels.put(e.getKey(), e.getValue().asText()));
-        return new Pool(name, places(node.path("zones"), grounds.zones()), places(node.path("kinds"), grounds.kinds()),
+        return new Pool(name, places(node.path("zones"), grounds.zones()), places(node.path("kinds"),
+            grounds.kinds()),
             labels, node.path("fallback").asText(null), node.path("leastShare").asDouble(0));
     }
 
--- a/src/main/java/gatelock/plan/Diff.java
+++ b/src/main/java/gatelock/plan/Diff.java
@@ -7,7 +7,8 @@
 import java.util.TreeSet;
 
 /**
- * Two plans compared by what they mean for reqs, not by their text: where the meaning is the same there is nothing
+ * Two plans compared by what they mean for reqs, not by their text: where the meaning is the same there is
+ * nothing
  * to say, however the text was moved about.
  */
 public final class Diff {
@@ -37,7 +38,8 @@
 
     private void unmatched() {
         if (before.refusesUnmatched() != after.refusesUnmatched()) {
-            lines.add("reqs that no route is for: " + (after.refusesUnmatched() ? "answered 404, went by their class before"
+            lines.add("reqs that no route is for: " + (after.refusesUnmatched()
+                ? "answered 404, went by their class before"
                 : "go by their class, were answered 404 before"));
         }
     }
@@ -49,7 +51,8 @@
             Entry was = before.entries().get(name);
             Entry is = after.entries().get(name);
             if (was == null) {
-                lines.add("route " + name + " is new: " + words(is.match()) + " to class " + className(is.classNo()) + ", pool "
+                lines.add("route " + name + " is new: " + words(is.match()) + " to class "
+                    + className(is.classNo()) + ", pool "
                     + pool(is) + landsNow(is, before));
             } else if (is == null) {
                 lines.add("route " + name + " is gone: " + words(was.match()) + landsNow(was, after));
@@ -66,9 +69,11 @@
     }
 
     private static Asked example(Match m) {
-        String host = m.host().equals("*") ? null : m.host().startsWith("*.") ? "x" + m.host().substring(1) : m.host();
+        String host = m.host().equals("*") ? null : m.host().startsWith("*.") ? "x" + m.host().substring(1)
+            : m.host();
         return new Asked(m.methods().isEmpty() ? "GET" : m.methods().iterator().next(), host,
-            "/" + String.join("/", m.segments()), n -> "*".equals(m.headers().get(n)) ? "x" : m.headers().get(n));
+            "/" + String.join("/", m.segments()), n -> "*".equals(m.headers().get(n)) ? "x" : m.headers()
+            .get(n));
     }
 
     private void changed(String name, Entry was, Entry is) {
@@ -77,7 +82,8 @@
         say(name, "pool", pool(was), pool(is));
         say(name, "limits", was.limits().stream().map(Explain::words).toList(),
             is.limits().stream().map(Explain::words).toList());
-        say(name, "tries", Explain.words(before.retries(was, was.pool())), Explain.words(after.retries(is, is.pool())));
+        say(name, "tries", Explain.words(before.retries(was, was.pool())),
+            Explain.words(after.retries(is, is.pool())));
     }
 
     private void say(String route, String what, Object was, Object is) {
@@ -98,8 +104,10 @@
                 Asked both = example(is.match(), other.match());
                 Entry meets = both == null ? null : after.entry(both);
                 Entry met = both == null ? null : before.entry(both);
-                if (meets != null && met != null && !meets.name().equals(met.name()) && same(meets) && same(met)) {
-                    said.add("reqs for both " + is.name() + " and " + other.name() + " meet route " + meets.name() + ", met "
+                if (meets != null && met != null && !meets.name().equals(met.name()) && same(meets)
+                    && same(met)) {
+                    said.add("reqs for both " + is.name() + " and " + other.name() + " meet route "
+                        + meets.name() + ", met "
                         + met.name());
                 }
             }
@@ -114,7 +122,9 @@
         return was != null && is != null && was.match().equals(is.match());
     }
 
-    /** A req for which both are, or null where there is none; the second one's path leads to the first one's. */
+    /**
+     * A req for which both are, or null where there is none; the second one's path leads to the first one's.
+     */
     private static Asked example(Match one, Match other) {
         TreeSet<String> methods = new TreeSet<>(one.methods().isEmpty() ? other.methods() : one.methods());
         if (!one.methods().isEmpty() && !other.methods().isEmpty()) {
@@ -122,7 +132,8 @@
         }
         Map<String, String> headers = new java.util.TreeMap<>(other.headers());
         headers.putAll(one.headers());
-        Match narrow = one.host().equals("*") || other.host().length() > one.host().length() && !other.host().equals("*")
+        Match narrow = one.host().equals("*") || other.host().length() > one.host().length() && !other.host()
+            .equals("*")
             ? other : one;
         Match both = new Match(narrow.host(), one.segments(), methods, headers);
         Asked asked = example(both);
@@ -142,7 +153,8 @@
     }
 
     private String className(int classNo) {
-        return grounds.classes().entrySet().stream().filter(e -> e.getValue() == classNo).map(Map.Entry::getKey)
+        return grounds.classes().entrySet().stream().filter(e -> e.getValue() == classNo)
+            .map(Map.Entry::getKey)
             .findFirst().orElse("?");
     }
 
@@ -151,18 +163,22 @@
     }
 
     private static String words(Match m) {
-        return (m.methods().isEmpty() ? "any method" : String.join("|", new TreeSet<>(m.methods()))) + " " + m.host() + " /"
+        return (m.methods().isEmpty() ? "any method" : String.join("|", new TreeSet<>(m.methods()))) + " "
+            + m.host() + " /"
             + String.join("/", m.segments()) + (m.headers().isEmpty() ? "" : " " + m.headers());
     }
 
     private String words(Pool p) {
-        return "zones " + names(p.zones(), grounds.zones()) + ", kinds " + names(p.kinds(), grounds.kinds()) + ", labels "
-            + (p.labels().isEmpty() ? "any" : p.labels()) + (p.fallback() == null ? "" : ", fallback " + p.fallback()
+        return "zones " + names(p.zones(), grounds.zones()) + ", kinds " + names(p.kinds(), grounds.kinds())
+            + ", labels "
+            + (p.labels().isEmpty() ? "any" : p.labels()) + (p.fallback() == null ? "" : ", fallback "
+            + p.fallback()
             + " under " + p.leastShare());
     }
 
     private static String names(java.util.Set<Integer> places, List<String> names) {
-        return places.isEmpty() ? "any" : new TreeSet<>(places).stream().filter(i -> i >= 0).map(names::get).toList()
+        return places.isEmpty() ? "any" : new TreeSet<>(places).stream().filter(i -> i >= 0).map(names::get)
+            .toList()
             .toString();
     }
 }
--- a/src/main/java/gatelock/plan/Draft.java
+++ b/src/main/java/gatelock/plan/Draft.java
@@ -18,12 +18,14 @@
 import java.util.Map;
 
 /**
- * A text read as JSON. Where a value stands in the text is looked up only for findings, in one more pass: to keep all
+ * A text read as JSON. Where a value stands in the text is looked up only for findings, in one more pass: to
+ * keep all
  * places took more memory than all else of a large version.
  */
 public final class Draft {
     private static final int DEEPEST = 64;
-    private static final JsonFactory JSON = JsonFactory.builder().streamReadConstraints(StreamReadConstraints.builder()
+    private static final JsonFactory JSON = JsonFactory.builder()
+        .streamReadConstraints(StreamReadConstraints.builder()
         .maxNestingDepth(DEEPEST).maxNumberLength(30).build()).build()
         .enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION);
 
@@ -49,10 +51,12 @@
         } catch (JsonProcessingException e) {
             JsonLocation at = e.getLocation();
             findings.add(new Finding("G-JSON", true, "", at == null ? 0 : at.getLineNr(),
-                at == null ? 0 : at.getColumnNr(), "it can't be read: " + e.getOriginalMessage().lines().findFirst()
+                at == null ? 0 : at.getColumnNr(), "it can't be read: " + e.getOriginalMessage().lines()
+                .findFirst()
                 .orElse("").replaceAll(" \\(for .*", ""), "mend the text there"));
         } catch (IOException e) {
-            findings.add(new Finding("G-JSON", true, "", 0, 0, "it can't be read: " + e.getMessage(), "mend the text"));
+            findings.add(new Finding("G-JSON", true, "", 0, 0, "it can't be read: " + e.getMessage(),
+                "mend the text"));
         }
         return null;
     }
@@ -114,7 +118,10 @@
         return new Finding(code, false, pointer, 0, 0, wrong, mend);
     }
 
-    /** The same findings with the line and column of each, or of the nearest place above it that stands in the text. */
+    /**
+     * The same findings with the line and column of each, or of the nearest place above it that stands in the
+     * text.
+     */
     public List<Finding> placed(List<Finding> findings) {
         Map<String, int[]> wanted = new HashMap<>();
         for (Finding f : findings) {
@@ -140,7 +147,8 @@
     }
 
     /** Notes where wanted values stand; whatever holds none of them is passed over. */
-    private static void look(JsonParser parser, String pointer, Map<String, int[]> wanted) throws IOException {
+    private static void look(JsonParser parser, String pointer, Map<String,
+        int[]> wanted) throws IOException {
         if (!wanted.containsKey(pointer)) {
             parser.skipChildren();
             return;
--- a/src/main/java/gatelock/plan/Explain.java
+++ b/src/main/java/gatelock/plan/Explain.java
@@ -19,7 +19,8 @@
         }
         Entry entry = plan.entry(asked);
         if (entry == null) {
-            said.put("answer", plan.refusesUnmatched() ? "404: no route is for it" : "no route is for it: it goes by the "
+            said.put("answer", plan.refusesUnmatched() ? "404: no route is for it"
+                : "no route is for it: it goes by the "
                 + "first part of its path, to all units, without limits");
             return said;
         }
@@ -44,13 +45,15 @@
         StringBuilder words = new StringBuilder(l.name()).append(": per ").append(l.per().name().toLowerCase(
             java.util.Locale.ROOT).replace('_', ' '));
         if (l.perUs() < Double.POSITIVE_INFINITY) {
-            words.append(", ").append(number(l.perUs() * 1e6)).append(" reqs a second, ").append(number(l.burst()))
+            words.append(", ").append(number(l.perUs() * 1e6)).append(" reqs a second, ")
+                .append(number(l.burst()))
                 .append(" at once");
         }
         if (l.inFlight() < Integer.MAX_VALUE) {
             words.append(", ").append(l.inFlight()).append(" in flight");
         }
-        words.append(l.queueLength() > 0 ? ", " + l.queueLength() + " may wait for " + l.waitUs() / 1000 + " ms"
+        words.append(l.queueLength() > 0 ? ", " + l.queueLength() + " may wait for " + l.waitUs() / 1000
+            + " ms"
             : ", none waits");
         return words.toString();
     }
@@ -60,7 +63,8 @@
             return "as the module decides";
         }
         return r.name() + ": " + r.most() + " tries" + (r.most() == 1 ? "" : " after " + r.after().stream()
-            .filter(e -> e != gatelock.relay.Ending.NOT_SENT).map(e -> e.name().toLowerCase(java.util.Locale.ROOT)
+            .filter(e -> e != gatelock.relay.Ending.NOT_SENT).map(e -> e.name()
+            .toLowerCase(java.util.Locale.ROOT)
             .replace('_', '-')).sorted().toList() + ", further ones up to " + number(r.budget()) + " of reqs")
             + (r.tryUs() > 0 ? ", each for " + r.tryUs() / 1000 + " ms" : "");
     }
--- a/src/main/java/gatelock/plan/Form.java
+++ b/src/main/java/gatelock/plan/Form.java
@@ -38,7 +38,8 @@
             String pointer = error.getInstanceLocation().toString();
             String keyword = error.getKeyword();
             if (error.getProperty() != null) {
-                pointer = keyword.equals("additionalProperties") ? pointer + "/" + Draft.escaped(error.getProperty())
+                pointer = keyword.equals("additionalProperties") ? pointer + "/"
+                    + Draft.escaped(error.getProperty())
                     : pointer;
             }
             findings.add(Draft.grave("S-" + keyword.toUpperCase(Locale.ROOT), pointer, error.getMessage(),
@@ -55,7 +56,8 @@
     }
 
     private static String mend(String keyword, Error error) {
-        Object first = error.getArguments() == null || error.getArguments().length == 0 ? "" : error.getArguments()[0];
+        Object first = error.getArguments() == null || error.getArguments().length == 0 ? ""
+            : error.getArguments()[0];
         return switch (keyword) {
             case "required" -> "add " + error.getProperty();
             case "additionalProperties" -> "take it out, or mend its name: " + error.getProperty();
--- a/src/main/java/gatelock/plan/Limits.java
+++ b/src/main/java/gatelock/plan/Limits.java
@@ -12,8 +12,10 @@
 import java.util.Set;
 
 /**
- * The state of all limits: what is left of each rate, what is in flight, who waits. It belongs to the relay, not to a
- * version, so that a limit whose name stays goes on from where it stood: a version that changes a rate hands out
+ * The state of all limits: what is left of each rate, what is in flight, who waits. It belongs to the relay,
+ * not to a
+ * version, so that a limit whose name stays goes on from where it stood: a version that changes a rate hands
+ * out
  * no fresh burst and forgets nothing that is in flight.
  */
 final class Limits {
@@ -180,7 +182,8 @@
     }
 
     private Count count(long nowUs, Limit limit, String route, int tenant) {
-        Key key = new Key(limit.name(), limit.per().byRoute() ? route : "", limit.per().byTenant() ? tenant : -1);
+        Key key = new Key(limit.name(), limit.per().byRoute() ? route : "", limit.per().byTenant() ? tenant
+            : -1);
         Count count = counts.get(key);
         if (count == null) {
             count = new Count(key, limit, nowUs, changed.contains(limit.name()) ? Math.min(1, limit.burst())
@@ -213,7 +216,8 @@
             return false;
         }
         if (c.queued >= c.limit.queueLength()) {
-            ArrayDeque<Ticket> longest = c.queue.values().stream().max(Comparator.comparingInt(ArrayDeque::size))
+            ArrayDeque<Ticket> longest = c.queue.values().stream()
+                .max(Comparator.comparingInt(ArrayDeque::size))
                 .orElseThrow();
             ArrayDeque<Ticket> own = c.queue.get(ticket.tenant);
             if (longest.size() <= (own == null ? 0 : own.size()) + 1) {
@@ -255,7 +259,9 @@
         ticket.waitsFor = null;
     }
 
-    /** Lets those pass for whom there is room, a tenant at a time in turn, the longest waiting of each first. */
+    /**
+     * Lets those pass for whom there is room, a tenant at a time in turn, the longest waiting of each first.
+     */
     private void serve(long nowUs, Count c) {
         boolean passed = true;
         while (passed && c.queued > 0) {
@@ -278,11 +284,15 @@
         }
     }
 
-    /** Sheds those that have waited too long, lets those pass that may; to be called when {@link #nextUs} says. */
+    /**
+     * Sheds those that have waited too long, lets those pass that may; to be called when {@link #nextUs}
+     * says.
+     */
     void due(long nowUs) {
         for (Count c : List.copyOf(busy)) {
             for (ArrayDeque<Ticket> own : List.copyOf(c.queue.values())) {
-                for (Ticket first = own.peekFirst(); first != null && first.waitsUntilUs <= nowUs; first = own.peekFirst()) {
+                while (!own.isEmpty() && own.peekFirst().waitsUntilUs <= nowUs) {
+                    Ticket first = own.peekFirst();
                     leaveQueue(first);
                     first.waiting.shed(nowUs, pauseUs(nowUs, first.counts));
                 }
@@ -307,7 +317,8 @@
                 c.become(nowUs, next);
             }
             while (c.queued > c.limit.queueLength()) {
-                ArrayDeque<Ticket> longest = c.queue.values().stream().max(Comparator.comparingInt(ArrayDeque::size))
+                ArrayDeque<Ticket> longest = c.queue.values().stream()
+                    .max(Comparator.comparingInt(ArrayDeque::size))
                     .orElseThrow();
                 Ticket last = longest.peekLast();
                 leaveQueue(last);
@@ -326,7 +337,8 @@
                 next = Math.min(next, first.waitsUntilUs);
                 long free = 0;
                 for (Count a : first.counts) {
-                    free = Math.max(free, a.inFlight < a.limit.inFlight() ? a.untilUs(nowUs) : Long.MAX_VALUE / 2);
+                    free = Math.max(free, a.inFlight < a.limit.inFlight() ? a.untilUs(nowUs)
+                        : Long.MAX_VALUE / 2);
                 }
                 next = Math.min(next, nowUs + Math.max(1, free));
             }
@@ -339,7 +351,8 @@
     }
 
     int inFlight(String limit) {
-        return counts.values().stream().filter(c -> c.key.limit().equals(limit)).mapToInt(c -> c.inFlight).sum();
+        return counts.values().stream().filter(c -> c.key.limit().equals(limit)).mapToInt(c -> c.inFlight)
+            .sum();
     }
 
     int size() {
--- a/src/main/java/gatelock/plan/Match.java
+++ b/src/main/java/gatelock/plan/Match.java
@@ -23,8 +23,10 @@
     }
 
     /**
-     * Guards against a path that a unit may read as another one than this relay does, and that would pass by an entry
-     * meant for it: dots that go up, or a slash or dot in disguise. Should hold for any unit that tidies paths; harms
+     * Guards against a path that a unit may read as another one than this relay does, and that would pass by
+     * an entry
+     * meant for it: dots that go up, or a slash or dot in disguise. Should hold for any unit that tidies
+     * paths; harms
      * a client that really has such names, which is told so.
      */
     static boolean odd(String path) {
--- a/src/main/java/gatelock/plan/Muster.java
+++ b/src/main/java/gatelock/plan/Muster.java
@@ -12,8 +12,10 @@
 import java.util.Set;
 
 /**
- * Which units stand in which pool of the plan in force, and which pool serves in place of another. Units are kept by their
- * sort, which is all that a pool can choose by: a new plan costs as much as there are sorts times ways to choose, whatever the
+ * Which units stand in which pool of the plan in force, and which pool serves in place of another. Units are
+ * kept by their
+ * sort, which is all that a pool can choose by: a new plan costs as much as there are sorts times ways to
+ * choose, whatever the
  * number of units, routes and pools.
  */
 final class Muster {
@@ -82,7 +84,8 @@
     }
 
     /** The list of units, or a part of it, has come in. */
-    void listed(long nowUs, Gate.ListForm form, List<Listed> entries, Map<String, Map<String, String>> borne) {
+    void listed(long nowUs, Gate.ListForm form, List<Listed> entries,
+                Map<String, Map<String, String>> borne) {
         if (form == Gate.ListForm.FAILED) {
             return;
         }
@@ -135,9 +138,7 @@
         member.sort.units += by;
         if (member.ready) {
             member.sort.ready += by;
-            for (int i = member.sort.chosenBy.nextSetBit(0); i >= 0; i = member.sort.chosenBy.nextSetBit(i + 1)) {
-                ready[i] += by;
-            }
+            member.sort.chosenBy.stream().forEach(i -> ready[i] += by);
         }
     }
 
--- a/src/main/java/gatelock/plan/Plan.java
+++ b/src/main/java/gatelock/plan/Plan.java
@@ -31,8 +31,8 @@
     private final boolean reachesAll;
     private final Set<String> policies = new HashSet<>();
 
-    Plan(Stamp stamp, String by, String note, boolean refusesUnmatched, List<Entry> routes, Map<String, Pool> pools,
-         Map<String, Retries> poolRetries, Retries defaultRetries, Map<String, Limit> limits,
+    Plan(Stamp stamp, String by, String note, boolean refusesUnmatched, List<Entry> routes,
+         Map<String, Pool> pools, Map<String, Retries> poolRetries, Retries defaultRetries, Map<String, Limit> limits,
          Collection<String> removes) {
         this.stamp = stamp;
         this.by = by;
@@ -70,7 +70,8 @@
         }
         reachesAll = all;
         Set<Integer> seen = new HashSet<>();
-        reachingPools.stream().sorted().map(selectorOf::get).filter(seen::add).forEach(i -> reaching.add(selectors.get(i)));
+        reachingPools.stream().sorted().map(selectorOf::get).filter(seen::add)
+            .forEach(i -> reaching.add(selectors.get(i)));
     }
 
     public Stamp stamp() {
@@ -124,7 +125,10 @@
         return removes;
     }
 
-    /** What further tries a req of an entry may have while that pool serves it: the entry's, its pool's, the default. */
+    /**
+     * What further tries a req of an entry may have while that pool serves it: the entry's, its pool's, the
+     * default.
+     */
     Retries retries(Entry entry, String pool) {
         return entry.retries() != null ? entry.retries() : poolRetries.getOrDefault(pool, defaultRetries);
     }
@@ -156,7 +160,8 @@
 
     private List<String> chainFrom(String pool) {
         List<String> chain = new ArrayList<>();
-        for (String at = pool; at != null && pools.containsKey(at) && !chain.contains(at); at = pools.get(at).fallback()) {
+        for (String at = pool; at != null && pools.containsKey(at) && !chain.contains(at); at = pools.get(at)
+            .fallback()) {
             chain.add(at);
         }
         return chain;
--- a/src/main/java/gatelock/plan/Sheet.java
+++ b/src/main/java/gatelock/plan/Sheet.java
@@ -92,7 +92,8 @@
 
         private JsonNode said(String field) {
             Line line = sayer(field);
-            return line == null ? com.fasterxml.jackson.databind.node.MissingNode.getInstance() : line.node.get(field);
+            return line == null ? com.fasterxml.jackson.databind.node.MissingNode.getInstance()
+                : line.node.get(field);
         }
 
         String className() {
@@ -109,7 +110,8 @@
         }
 
         List<String> limits() {
-            JsonNode names = sayer("limits") == null ? root().path("defaults").path("limits") : said("limits");
+            JsonNode names = sayer("limits") == null ? root().path("defaults").path("limits")
+                : said("limits");
             List<String> limits = new ArrayList<>();
             names.forEach(n -> limits.add(n.asText()));
             return limits;
@@ -123,8 +125,10 @@
             }
             Set<String> subprotocols = new HashSet<>();
             node.path("subprotocols").forEach(n -> subprotocols.add(n.asText()));
-            return new SessionTerms(node.path("messageBytes").asInt(65_536), (long) (node.path("idleS").asDouble(300) * 1e6),
-                (long) (node.path("pingS").asDouble(20) * 1e6), node.path("framesPerS").asInt(200), subprotocols);
+            return new SessionTerms(node.path("messageBytes").asInt(65_536),
+                (long) (node.path("idleS").asDouble(300) * 1e6),
+                (long) (node.path("pingS").asDouble(20) * 1e6), node.path("framesPerS").asInt(200),
+                subprotocols);
         }
 
         Match match() {
@@ -133,7 +137,8 @@
             Map<String, String> headers = new TreeMap<>();
             said("headers").properties().forEach(e -> headers.put(e.getKey().toLowerCase(Locale.ROOT),
                 e.getValue().asText()));
-            return new Match(said("host").asText("*"), Match.segments(said("path").asText("/")), methods, headers);
+            return new Match(said("host").asText("*"), Match.segments(said("path").asText("/")), methods,
+                headers);
         }
     }
 }
--- a/src/main/java/gatelock/plan/Succession.java
+++ b/src/main/java/gatelock/plan/Succession.java
@@ -8,12 +8,16 @@
 import java.util.Map;
 
 /**
- * Which versions follow one another: what a version that has come is to be met with, which is in force, which one is
- * to be told to the control service as held, and what may be gone back to. It knows texts only by their hash; compiling
+ * Which versions follow one another: what a version that has come is to be met with, which is in force, which
+ * one is
+ * to be told to the control service as held, and what may be gone back to. It knows texts only by their hash;
+ * compiling
  * is the caller's.
  *
- * <p>Numbers go up within an epoch. An epoch that is later than the one held is a control service built anew, an
- * earlier one an old copy that came back: it is turned down. Of two texts with one number of one epoch the one
+ * <p>Numbers go up within an epoch. An epoch that is later than the one held is a control service built anew,
+ * an
+ * earlier one an old copy that came back: it is turned down. Of two texts with one number of one epoch the
+ * one
  * held stays.
  */
 public final class Succession {
@@ -95,7 +99,8 @@
     }
 
     /**
-     * It was good and is in force from now on. False where a later one came in force while it was compiled: then it is
+     * It was good and is in force from now on. False where a later one came in force while it was compiled:
+     * then it is
      * not.
      */
     public boolean good(long nowUs, Plan plan, String why, byte[] text) {
@@ -118,7 +123,10 @@
         }
     }
 
-    /** It was turned down. What is a danger only beside the version in force may be offered again: it is not kept. */
+    /**
+     * It was turned down. What is a danger only beside the version in force may be offered again: it is not
+     * kept.
+     */
     public void bad(Stamp stamp, List<Finding> findings, boolean always) {
         refusals++;
         if (always) {
@@ -167,7 +175,10 @@
         return found;
     }
 
-    /** The operator goes back to an earlier version and keeps it, whatever the control service sends, until released. */
+    /**
+     * The operator goes back to an earlier version and keeps it, whatever the control service sends, until
+     * released.
+     */
     public void pin(long nowUs, Past to, String why) {
         pinned = true;
         inForce(new Past(to.stamp(), nowUs, why, to.by(), to.note(), to.text()));
--- a/src/main/java/gatelock/plan/Table.java
+++ b/src/main/java/gatelock/plan/Table.java
@@ -7,8 +7,10 @@
 import java.util.function.BiPredicate;
 
 /**
- * An ordered table of matches, of which the first that fits a req holds. Kept as a compressed trie over the segments
- * of paths: an edge bears as many segments as lead to no choice, a node those entries whose path ends there, by host
+ * An ordered table of matches, of which the first that fits a req holds. Kept as a compressed trie over the
+ * segments
+ * of paths: an edge bears as many segments as lead to no choice, a node those entries whose path ends there,
+ * by host
  * and in order, and the least place of all below it, so that a search ends where nothing earlier can come.
  *
  * @param <T> what an entry leads to
@@ -99,7 +101,8 @@
 
     /** What the first entry that fits leads to, or null. */
     T first(Asked asked) {
-        Entry<T> found = search(Match.segments(asked.path()), asked.host(), (place, match) -> match.fitsBeside(asked));
+        Entry<T> found = search(Match.segments(asked.path()), asked.host(), (place,
+            match) -> match.fitsBeside(asked));
         return found == null ? null : found.leadsTo;
     }
 
@@ -124,7 +127,8 @@
     }
 
     /** The first of the entries of one node that is chosen, if it stands before the best so far. */
-    private static <T> Entry<T> at(Node<T> node, String host, BiPredicate<Integer, Match> chosen, Entry<T> best) {
+    private static <T> Entry<T> at(Node<T> node, String host, BiPredicate<Integer, Match> chosen,
+                                   Entry<T> best) {
         Entry<T> found = best;
         if (host == null) {
             for (List<Entry<T>> some : node.byHost.values()) {
@@ -144,7 +148,8 @@
         return found;
     }
 
-    private static <T> Entry<T> before(List<Entry<T>> some, BiPredicate<Integer, Match> chosen, Entry<T> best) {
+    private static <T> Entry<T> before(List<Entry<T>> some, BiPredicate<Integer, Match> chosen,
+                                       Entry<T> best) {
         for (int i = 0; some != null && i < some.size(); i++) {
             Entry<T> entry = some.get(i);
             if (best != null && entry.place >= best.place) {
--- a/src/main/java/gatelock/plan/package-info.java
+++ b/src/main/java/gatelock/plan/package-info.java
@@ -1,7 +1,9 @@
 /**
  * Versioned configuration, all of it that decides anything: what a version says and whether it is sound
- * ({@link gatelock.plan.Draft}, {@link gatelock.plan.Checks}, {@link gatelock.plan.Compiler}), what is in force
- * ({@link gatelock.plan.Plan}), which versions follow one another ({@link gatelock.plan.Succession}), and what it
+ * ({@link gatelock.plan.Draft}, {@link gatelock.plan.Checks}, {@link gatelock.plan.Compiler}), what is in
+ * force
+ * ({@link gatelock.plan.Plan}), which versions follow one another ({@link gatelock.plan.Succession}), and
+ * what it
  * means for a req ({@link gatelock.plan.Admission}). Nothing here does I/O or reads a clock; times are whole
  * microseconds that the caller brings.
  */
--- a/src/main/java/gatelock/relay/Bounds.java
+++ b/src/main/java/gatelock/relay/Bounds.java
@@ -1,7 +1,8 @@
 package gatelock.relay;
 
 /**
- * What was set for one req beyond the charter's terms. It only narrows: a gate that heeds it does nothing that it
+ * What was set for one req beyond the charter's terms. It only narrows: a gate that heeds it does nothing
+ * that it
  * would not have been free to do without.
  */
 public interface Bounds {
--- a/src/main/java/gatelock/relay/Gate.java
+++ b/src/main/java/gatelock/relay/Gate.java
@@ -32,7 +32,8 @@
     }
 
     /** The same of a req for which more was set than the charter's terms. */
-    Handle take(long nowUs, String id, int route, int tenant, long key, long leftUs, long costUs, Bounds bounds);
+    Handle take(long nowUs, String id, int route, int tenant, long key, long leftUs, long costUs,
+        Bounds bounds);
 
     /** Stands for a req without a key. */
     long NO_KEY = -1;
@@ -41,7 +42,8 @@
     enum Passing { NOW, LATER, NEVER }
 
     /**
-     * A message of a session that stands at a unit is to go there. It counts as a req taken and, at a build on trial, as
+     * A message of a session that stands at a unit is to go there. It counts as a req taken and, at a build
+     * on trial, as
      * a try.
      *
      * @param first whether it is asked for the first time, and not again after {@link Passing#LATER}
--- a/src/main/java/gatelock/session/Cause.java
+++ b/src/main/java/gatelock/session/Cause.java
@@ -1,6 +1,8 @@
 package gatelock.session;
 
-/** Why a session ends, and what each side is told: one code (RFC 6455, 7.4 and its registry) and one reason. */
+/**
+ * Why a session ends, and what each side is told: one code (RFC 6455, 7.4 and its registry) and one reason.
+ */
 public enum Cause {
     /** A side closed it; its own code goes to the other. */
     CLOSED(1000, 1000, "closed"),
--- a/src/main/java/gatelock/session/Session.java
+++ b/src/main/java/gatelock/session/Session.java
@@ -4,7 +4,8 @@
 import java.util.Map;
 
 /**
- * The life of one session between a client and a unit. Whatever ends it, and in whatever order things happen, each side that
+ * The life of one session between a client and a unit. Whatever ends it, and in whatever order things happen,
+ * each side that
  * can still hear gets exactly one close; a side that does not answer its close in time is cut off.
  */
 public final class Session {
@@ -78,7 +79,8 @@
         if (cause == null) {
             cause = why;
             endedUs = nowUs;
-            tell(Side.CLIENT, why.code(Side.CLIENT), afterMs > 0 ? why.reason() + " after " + afterMs + " ms" : why.reason());
+            tell(Side.CLIENT, why.code(Side.CLIENT), afterMs > 0 ? why.reason() + " after " + afterMs + " ms"
+                : why.reason());
             tell(Side.UNIT, why.code(Side.UNIT), why.reason());
         }
     }
--- a/src/main/java/gatelock/session/Sessions.java
+++ b/src/main/java/gatelock/session/Sessions.java
@@ -14,7 +14,8 @@
 import java.util.random.RandomGenerator;
 
 /**
- * All sessions of a relay: how many there may be, and which must leave their unit and when. Closes that clients come back
+ * All sessions of a relay: how many there may be, and which must leave their unit and when. Closes that
+ * clients come back
  * from are paced: so many a second as the units that stay can open, so that those who come back flood nobody.
  */
 public final class Sessions {
@@ -79,7 +80,10 @@
         return session;
     }
 
-    /** The list of units, or a part of it: sessions at units that drain, are gone or came back as others must leave. */
+    /**
+     * The list of units, or a part of it: sessions at units that drain, are gone or came back as others must
+     * leave.
+     */
     public void listed(long nowUs, Gate.ListForm form, List<Listed> entries) {
         if (form == Gate.ListForm.FAILED) {
             return;
@@ -113,7 +117,10 @@
         }
     }
 
-    /** News of the newest build: once it goes back, its sessions end at once, as nothing may go there any more. */
+    /**
+     * News of the newest build: once it goes back, its sessions end at once, as nothing may go there any
+     * more.
+     */
     public void news(long nowUs, int build, Gate.Phase now) {
         newest = build;
         phase = now;
@@ -144,7 +151,8 @@
     }
 
     /**
-     * Ends those whose turn has come, and forgets those that are over; to be called some ten times a second. When a relay
+     * Ends those whose turn has come, and forgets those that are over; to be called some ten times a second.
+     * When a relay
      * leaves, the rest goes evenly until the time is up, since its clients go to other relays.
      */
     public void due(long nowUs) {
--- a/src/main/java/gatelock/wire/Admit.java
+++ b/src/main/java/gatelock/wire/Admit.java
@@ -9,7 +9,8 @@
 import gatelock.relay.Gate;
 
 /**
- * Second stage: a req in good form asks the plan's limits, where there is a plan, and is handed to the decisions. It is
+ * Second stage: a req in good form asks the plan's limits, where there is a plan, and is handed to the
+ * decisions. It is
  * owed an answer from then on.
  */
 public final class Admit {
@@ -74,7 +75,8 @@
 
     private void decide(OpenReq req, int route, int tenant, long key, long costUs, Bounds bounds) {
         long nowUs = turn.nowUs();
-        req.taken(gate.take(nowUs, req.id(), route, tenant, key, Math.max(1, req.endUs() - nowUs), costUs, bounds));
+        req.taken(gate.take(nowUs, req.id(), route, tenant, key, Math.max(1, req.endUs() - nowUs), costUs,
+            bounds));
         book.settle(req);
     }
 
--- a/src/main/java/gatelock/wire/AnswerReader.java
+++ b/src/main/java/gatelock/wire/AnswerReader.java
@@ -12,10 +12,13 @@
 import java.util.regex.Pattern;
 
 /**
- * Reads one HTTP/1.1 answer from the pieces in which it comes; the one place where an answer's form is checked.
+ * Reads one HTTP/1.1 answer from the pieces in which it comes; the one place where an answer's form is
+ * checked.
  *
- * <p>Guards against answers that are noise, cut, without end or of two lengths, and should hold against any that
- * leave open where they end: what can't be proven whole is unreadable. Could harm where a unit ends its answers
+ * <p>Guards against answers that are noise, cut, without end or of two lengths, and should hold against any
+ * that
+ * leave open where they end: what can't be proven whole is unreadable. Could harm where a unit ends its
+ * answers
  * with their connection, or has heads beyond {@link #MOST_HEAD}.
  */
 final class AnswerReader {
@@ -24,7 +27,8 @@
     /** The most that any body may hold, in the protocol. */
     static final int MOST_BODY = 64 * 1024;
 
-    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-5][0-9][0-9]( .*)?", Pattern.DOTALL);
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-5][0-9][0-9]( .*)?",
+        Pattern.DOTALL);
 
     private enum Part { STATUS, HEADERS, BODY, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILERS, WHOLE }
 
@@ -143,7 +147,8 @@
         }
         String name = text.substring(0, colon);
         String value = text.substring(colon + 1).trim();
-        if (name.chars().allMatch(c -> c > ' ' && c < 127) && value.chars().allMatch(c -> c >= ' ' && c != 127)) {
+        if (name.chars().allMatch(c -> c > ' ' && c < 127) && value.chars().allMatch(c -> c >= ' '
+            && c != 127)) {
             headers.add(name);
             headers.add(value);
         }
@@ -178,7 +183,9 @@
         }
     }
 
-    /** The value of a header that may stand once only, or again with the same value; null where it is absent. */
+    /**
+     * The value of a header that may stand once only, or again with the same value; null where it is absent.
+     */
     private String only(String name) throws UnreadableAnswer {
         String found = null;
         for (int i = 0; i < headers.size(); i += 2) {
--- a/src/main/java/gatelock/wire/Book.java
+++ b/src/main/java/gatelock/wire/Book.java
@@ -43,7 +43,9 @@
         }
     }
 
-    /** Forgets a req once it is answered and its last try has ended; an answer may still be on its way out. */
+    /**
+     * Forgets a req once it is answered and its last try has ended; an answer may still be on its way out.
+     */
     void settle(OpenReq req) {
         if (req.over() && (!req.taken() || req.handle().settled())) {
             open.forget(req);
--- a/src/main/java/gatelock/wire/Discovery.java
+++ b/src/main/java/gatelock/wire/Discovery.java
@@ -52,7 +52,8 @@
      * @param units connections to units, closed where a unit leaves or returns as another
      * @param onRequest whether the list is followed only when asked for, and a failure is told
      */
-    public Discovery(Turn turn, Counters counters, Lines lines, InetSocketAddress address, Addresses addresses,
+    public Discovery(Turn turn, Counters counters, Lines lines, InetSocketAddress address,
+        Addresses addresses,
                      Lines units, List<String> zones, List<String> kinds, boolean onRequest,
                      RandomGenerator chance) {
         this.turn = turn;
@@ -105,7 +106,8 @@
         boolean watch = index >= 0;
         String path = watch ? "/api/targets?from=" + index + "&hold_ms=" + HOLD_MS : "/api/targets";
         String call = "GET " + path + " HTTP/1.1\r\nHost: discovery\r\n\r\n";
-        line = lines.call(address, StandardCharsets.US_ASCII.encode(call), GRACE_US + (watch ? HOLD_MS * 1000 : 0),
+        line = lines.call(address, StandardCharsets.US_ASCII.encode(call), GRACE_US + (watch ? HOLD_MS * 1000
+            : 0),
             new Asked());
     }
 
@@ -155,7 +157,8 @@
         List<Listed> listed = noted(entries, whole);
         if (admission != null) {
             Map<String, Map<String, String>> labels = new HashMap<>();
-            entries.stream().filter(e -> !e.labels.isEmpty()).forEach(e -> labels.put(e.listed.unit(), e.labels));
+            entries.stream().filter(e -> !e.labels.isEmpty()).forEach(e -> labels.put(e.listed.unit(),
+                e.labels));
             admission.listed(turn.nowUs(), form, listed, labels);
         }
         gate.listed(turn.nowUs(), form, listed);
--- a/src/main/java/gatelock/wire/Front.java
+++ b/src/main/java/gatelock/wire/Front.java
@@ -71,20 +71,25 @@
 
             @Override
             public void end(StreamConnection connection, Clients.State state, Clients.Why why) {
-                LOG.log(Level.DEBUG, () -> "client " + connection.getPeerAddress() + " closed, " + state + ", " + why);
+                LOG.log(Level.DEBUG, () -> "client " + connection.getPeerAddress() + " closed, " + state
+                    + ", " + why);
                 IoUtils.safeClose(connection);
             }
         }, withEase, most);
     }
 
-    /** Listens, and tells where; until {@link #admit} says that it is ready, a relay is not ready for clients. */
+    /**
+     * Listens, and tells where; until {@link #admit} says that it is ready, a relay is not ready for clients.
+     */
     public InetSocketAddress listen(InetSocketAddress address) throws IOException {
         OptionMap http = OptionMap.builder().set(UndertowOptions.MAX_HEADER_SIZE, 16 * 1024)
-            .set(UndertowOptions.ALWAYS_SET_DATE, false).set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false).getMap();
+            .set(UndertowOptions.ALWAYS_SET_DATE, false).set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
+            .getMap();
         HttpOpenListener opened = new HttpOpenListener(
             new DefaultByteBufferPool(true, BUFFER_BYTES, 200, 0, 0), http);
         opened.setRootHandler(this::handle);
-        OptionMap socket = OptionMap.builder().set(Options.TCP_NODELAY, true).set(Options.REUSE_ADDRESSES, true)
+        OptionMap socket = OptionMap.builder().set(Options.TCP_NODELAY, true).set(Options.REUSE_ADDRESSES,
+            true)
             .set(Options.BACKLOG, BACKLOG).set(Options.CONNECTION_HIGH_WATER, most + SPARE)
             .set(Options.CONNECTION_LOW_WATER, most + SPARE - 1).getMap();
         listener = turn.thread().getWorker().createStreamConnectionServer(address,
@@ -138,7 +143,8 @@
         String path = exchange.getRequestPath();
         if (path.startsWith("/-/")) {
             boolean isReady = path.equals("/-/ready");
-            exchange.setStatusCode(isReady && ready && !notReady || path.equals("/-/healthy") ? 200 : isReady ? 503
+            exchange.setStatusCode(isReady && ready && !notReady || path.equals("/-/healthy") ? 200 : isReady
+                ? 503
                 : 404);
             last(exchange);
             exchange.endExchange();
@@ -154,7 +160,10 @@
         clients.whole(connection(exchange));
     }
 
-    /** An answer goes out, and the connection owes the next req once it has left; when leaving, it ends with this. */
+    /**
+     * An answer goes out, and the connection owes the next req once it has left; when leaving, it ends with
+     * this.
+     */
     void last(HttpServerExchange exchange) {
         StreamConnection connection = connection(exchange);
         clients.answering(turn.nowUs(), connection);
@@ -209,8 +218,10 @@
     }
 
     /**
-     * Takes leave. New connections are taken for a while, since the front in between hears late of it; those that
-     * stand are served on for as long as a req can still be answered before the process is ended for good; then
+     * Takes leave. New connections are taken for a while, since the front in between hears late of it; those
+     * that
+     * stand are served on for as long as a req can still be answered before the process is ended for good;
+     * then
      * answers end their connections, and it is over when none is left.
      *
      * @param killedUs from now on, how long the process is left alive at the least
--- a/src/main/java/gatelock/wire/Inflow.java
+++ b/src/main/java/gatelock/wire/Inflow.java
@@ -9,7 +9,8 @@
 import java.nio.channels.FileChannel;
 
 /**
- * What comes from one client, under everything that Undertow puts on it: tells of each read that brought bytes, and
+ * What comes from one client, under everything that Undertow puts on it: tells of each read that brought
+ * bytes, and
  * can look ahead without taking them away.
  */
 final class Inflow extends AbstractStreamSourceConduit<StreamSourceConduit> {
--- a/src/main/java/gatelock/wire/Lines.java
+++ b/src/main/java/gatelock/wire/Lines.java
@@ -25,8 +25,10 @@
     /**
      * @param openWithinUs a connection that is not up by then has failed
      * @param idleUs how long a connection is kept without a call
-     * @param restUs how long a connection is without a call before the next. Guards against bytes behind an answer
-     *     that would be read as the next call's: what comes meanwhile ends the connection. Should hold against any
+     * @param restUs how long a connection is without a call before the next. Guards against bytes behind an
+     *     answer
+     *     that would be read as the next call's: what comes meanwhile ends the connection. Should hold
+     *     against any
      *     late copy or noise; costs some connections more under load
      * @param most how many there may be; beyond that one without a call goes for each that is opened
      */
@@ -35,7 +37,8 @@
     }
 
     /** The same with answers of a size of their own, as the protocol's bound is only for reqs. */
-    public Lines(Turn turn, Counters counters, long openWithinUs, long idleUs, long restUs, int most, int mostBody) {
+    public Lines(Turn turn, Counters counters, long openWithinUs, long idleUs, long restUs, int most,
+        int mostBody) {
         this.mostBody = mostBody;
         this.turn = turn;
         this.counters = counters;
--- a/src/main/java/gatelock/wire/TakeIn.java
+++ b/src/main/java/gatelock/wire/TakeIn.java
@@ -35,7 +35,9 @@
 import java.util.Set;
 import java.util.function.Consumer;
 
-/** First stage: a client's req is read whole and checked for its form; the fields that matter are taken out. */
+/**
+ * First stage: a client's req is read whole and checked for its form; the fields that matter are taken out.
+ */
 public final class TakeIn implements HttpHandler {
     private static final int FIRST_CHUNKS = 1024;
     private static final int MOST_DIGITS = 9;
@@ -82,8 +84,12 @@
         /** 0, or the status with which it is turned away. */
         int refusal(HttpServerExchange exchange);
 
-        /** Makes a req one that opens a session; what is given takes the client's side over once a unit has opened. */
-        Consumer<HttpServerExchange> opens(HttpServerExchange exchange, OpenReq req, SessionTerms terms, int route);
+        /**
+         * Makes a req one that opens a session; what is given takes the client's side over once a unit has
+         * opened.
+         */
+        Consumer<HttpServerExchange> opens(HttpServerExchange exchange, OpenReq req, SessionTerms terms,
+            int route);
     }
 
     /** From now on sessions are opened by this. */
@@ -108,7 +114,8 @@
         Integer route = way != null ? (Integer) way.classNo() : path.startsWith("/")
             ? names.routes.get(path.substring(1, slash < 0 ? path.length() : slash)) : null;
         wrong = wrong != 0 ? wrong : formOf(exchange, route, length);
-        boolean opens = wrong == 0 && upgrade != null && way != null && way.sessions() != null && upgrade.asked(exchange);
+        boolean opens = wrong == 0 && upgrade != null && way != null && way.sessions() != null
+            && upgrade.asked(exchange);
         wrong = opens ? upgrade.refusal(exchange) : wrong;
         if (wrong != 0) {
             refuse(exchange, wrong);
@@ -119,7 +126,9 @@
         }
     }
 
-    /** A body on its way in. Undertow's own receiver takes it byte by byte, which cost a third of the time. */
+    /**
+     * A body on its way in. Undertow's own receiver takes it byte by byte, which cost a third of the time.
+     */
     private final class Body implements ChannelListener<StreamSourceChannel> {
         private final HttpServerExchange exchange;
         private final Admission.Way way;
@@ -164,7 +173,8 @@
     }
 
     /**
-     * 0, or the status for a req that can't be taken. Two lengths, or one that is negative or no number, Undertow
+     * 0, or the status for a req that can't be taken. Two lengths, or one that is negative or no number,
+     * Undertow
      * itself turns away; one beyond what fits a long it would read as another.
      */
     private int formOf(HttpServerExchange exchange, Integer route, long length) {
@@ -174,11 +184,13 @@
         }
         boolean get = exchange.getRequestMethod().equalToString("GET");
         Route.Repeat repeat = names.terms.get(route).repeat();
-        if (get != (repeat == Route.Repeat.RETRIABLE) || !get && !exchange.getRequestMethod().equalToString("POST")) {
+        if (get != (repeat == Route.Repeat.RETRIABLE) || !get && !exchange.getRequestMethod()
+            .equalToString("POST")) {
             return 405;
         }
         String coding = headers.getFirst(Headers.TRANSFER_ENCODING);
-        if (coding != null && !coding.trim().equalsIgnoreCase("chunked") || get && (coding != null || length > 0)) {
+        if (coding != null && !coding.trim().equalsIgnoreCase("chunked") || get && (coding != null || length
+            > 0)) {
             return 400;
         }
         if (!get && length < 0 && coding == null) {
@@ -203,7 +215,9 @@
         return value == null || value.isEmpty() || value.length() > MOST_ID ? null : value;
     }
 
-    /** How long a client waits, in ms; 0 if that is no whole number from 1 up to ten times its route's time. */
+    /**
+     * How long a client waits, in ms; 0 if that is no whole number from 1 up to ten times its route's time.
+     */
     private static long expiresMs(String text, long routeUs) {
         boolean digits = text.length() <= MOST_DIGITS && text.chars().allMatch(c -> c >= '0' && c <= '9');
         long ms = digits && !text.isEmpty() ? Long.parseLong(text) : 0;
--- a/src/main/java/gatelock/wire/Turn.java
+++ b/src/main/java/gatelock/wire/Turn.java
@@ -43,7 +43,8 @@
     }
 
     /**
-     * Does slow work on the worker's one task thread, and then what is to follow here, in any case: where the work
+     * Does slow work on the worker's one task thread, and then what is to follow here, in any case: where the
+     * work
      * throws, with what stands for its failure.
      */
     public <T> void aside(Supplier<T> slow, T otherwise, Consumer<T> then) {
--- a/src/main/java/gatelock/wire/ws/Coupling.java
+++ b/src/main/java/gatelock/wire/ws/Coupling.java
@@ -29,7 +29,8 @@
 import java.nio.charset.StandardCharsets;
 
 /**
- * The two sides of one session. A message is taken in whole, passed on, and only then is the next one of that side read:
+ * The two sides of one session. A message is taken in whole, passed on, and only then is the next one of that
+ * side read:
  * a side that reads slowly stalls the other, and nobody else.
  */
 final class Coupling implements Session.Wires {
@@ -55,7 +56,8 @@
     private long framesFromUs;
     private int frames;
 
-    Coupling(Turn turn, Counters counters, Gate gate, Sessions sessions, SessionTerms terms, String unitName, int route,
+    Coupling(Turn turn, Counters counters, Gate gate, Sessions sessions, SessionTerms terms, String unitName,
+        int route,
              WebSocketChannel client, WebSocketChannel unit, Runnable whenOver) {
         this.turn = turn;
         this.counters = counters;
@@ -226,8 +228,10 @@
         }
 
         /**
-         * One message on its way in, through all of its fragments. One that is too big is read to its end and thrown away:
-         * Undertow's own reader ends the connection with the rest unread, and TCP then takes back the close that was said.
+         * One message on its way in, through all of its fragments. One that is too big is read to its end and
+         * thrown away:
+         * Undertow's own reader ends the connection with the rest unread, and TCP then takes back the close
+         * that was said.
          */
         private final class Reader implements ChannelListener<StreamSourceFrameChannel> {
             private final boolean text;
@@ -263,7 +267,8 @@
             private void add(ByteBuffer some) {
                 if (whole.size() + some.remaining() > terms.messageBytes()) {
                     if (!tooBig) {
-                        session.end(turn.nowUs(), side == Session.Side.UNIT ? Cause.UNIT_FAULT : Cause.TOO_BIG, 0);
+                        session.end(turn.nowUs(), side == Session.Side.UNIT ? Cause.UNIT_FAULT
+                            : Cause.TOO_BIG, 0);
                     }
                     tooBig = true;
                     whole.reset();
@@ -279,7 +284,8 @@
             } else if (text) {
                 came(() -> WebSockets.sendText(ByteBuffer.wrap(whole), other().channel, other().sent(this)));
             } else {
-                came(() -> WebSockets.sendBinary(ByteBuffer.wrap(whole), other().channel, other().sent(this)));
+                came(() -> WebSockets.sendBinary(ByteBuffer.wrap(whole), other().channel, other()
+                    .sent(this)));
             }
         }
 
@@ -347,7 +353,8 @@
         }
 
         @Override
-        protected void onFullPingMessage(WebSocketChannel from, BufferedBinaryMessage message) throws IOException {
+        protected void onFullPingMessage(WebSocketChannel from,
+            BufferedBinaryMessage message) throws IOException {
             if (flood()) {
                 message.getData().close();
             } else {
@@ -356,7 +363,8 @@
         }
 
         @Override
-        protected void onFullPongMessage(WebSocketChannel from, BufferedBinaryMessage message) throws IOException {
+        protected void onFullPongMessage(WebSocketChannel from,
+            BufferedBinaryMessage message) throws IOException {
             flood();
             super.onFullPongMessage(from, message);
         }
@@ -368,7 +376,8 @@
             int code = body.remaining() >= 2 ? body.getShort() & 0xffff : body.remaining() == 0 ? 1005 : 1002;
             String reason = StandardCharsets.UTF_8.decode(body).toString();
             pooled.close();
-            session.closed(turn.nowUs(), side, code, reason.getBytes(StandardCharsets.UTF_8).length > 120 ? "" : reason);
+            session.closed(turn.nowUs(), side, code, reason.getBytes(StandardCharsets.UTF_8).length > 120
+                ? "" : reason);
             over();
         }
 
@@ -381,7 +390,8 @@
                 session.lost(nowUs, side);
             } else {
                 boolean utf = String.valueOf(e.getMessage()).contains("UTF");
-                session.end(nowUs, side == Session.Side.UNIT ? Cause.UNIT_FAULT : utf ? Cause.INVALID : Cause.PROTOCOL, 0);
+                session.end(nowUs, side == Session.Side.UNIT ? Cause.UNIT_FAULT : utf ? Cause.INVALID
+                    : Cause.PROTOCOL, 0);
             }
         }
     }
--- a/src/main/java/gatelock/wire/ws/Upgrades.java
+++ b/src/main/java/gatelock/wire/ws/Upgrades.java
@@ -27,6 +27,8 @@
 
 import org.xnio.IoFuture;
 import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
 import org.xnio.XnioExecutor;
 
 import java.lang.System.Logger.Level;
@@ -40,8 +42,10 @@
 import java.util.function.Consumer;
 
 /**
- * Opens sessions: a req asks for one, the decisions choose a unit as for any req, a try is an opening handshake with that
- * unit, and only once a unit has opened is the client's own handshake answered. Until then the client has an ordinary
+ * Opens sessions: a req asks for one, the decisions choose a unit as for any req, a try is an opening
+ * handshake with that
+ * unit, and only once a unit has opened is the client's own handshake answered. Until then the client has an
+ * ordinary
  * req, which may be shed with a time to come back.
  */
 public final class Upgrades implements TakeIn.Upgrade {
@@ -51,7 +55,8 @@
     private static final HttpString KEY = new HttpString("Sec-WebSocket-Key");
     private static final HttpString VERSION = new HttpString("Sec-WebSocket-Version");
     /** Passed on to a unit with its own opening handshake. */
-    private static final List<String> PASSED = List.of("X-Trace-Id", "X-Customer", "Cookie", "X-Size-Hint", "Origin");
+    private static final List<String> PASSED = List.of("X-Trace-Id", "X-Customer", "Cookie", "X-Size-Hint",
+        "Origin");
 
     private final Turn turn;
     private final Counters counters;
@@ -78,7 +83,8 @@
         String connection = exchange.getRequestHeaders().getFirst(Headers.CONNECTION);
         String key = exchange.getRequestHeaders().getFirst(KEY);
         boolean form = connection != null && connection.toLowerCase(java.util.Locale.ROOT).contains("upgrade")
-            && key != null && key.matches("[A-Za-z0-9+/]{22}==") && exchange.getRequestHeaders().count(KEY) == 1;
+            && key != null && key.matches("[A-Za-z0-9+/]{22}==") && exchange.getRequestHeaders().count(KEY)
+            == 1;
         if (!form) {
             return 400;
         }
@@ -95,7 +101,8 @@
     }
 
     @Override
-    public Consumer<HttpServerExchange> opens(HttpServerExchange exchange, OpenReq req, SessionTerms terms, int route) {
+    public Consumer<HttpServerExchange> opens(HttpServerExchange exchange, OpenReq req, SessionTerms terms,
+        int route) {
         Opening opening = new Opening(exchange, req, terms, route);
         req.opensBy(opening);
         return opening::takeOver;
@@ -133,7 +140,8 @@
             this.req = req;
             this.terms = terms;
             this.route = route;
-            this.path = exchange.getRequestURI() + (exchange.getQueryString().isEmpty() ? "" : "?" + exchange.getQueryString());
+            this.path = exchange.getRequestURI() + (exchange.getQueryString().isEmpty() ? "" : "?"
+                + exchange.getQueryString());
             this.subprotocols = subprotocols(exchange, terms.subprotocols());
             for (String name : PASSED) {
                 String value = exchange.getRequestHeaders().getFirst(name);
@@ -150,10 +158,12 @@
 
         /** The client's side: its handshake is answered, and the two sides are one session from then on. */
         private void takeOver(HttpServerExchange exchange) {
-            Handshake handshake = new Hybi13Handshake(subprotocol == null ? Set.of() : Set.of(subprotocol), false);
+            Handshake handshake = new Hybi13Handshake(subprotocol == null ? Set.of() : Set.of(subprotocol),
+                false);
             try {
                 WebSocketConnectionCallback coupled = (facade, client) ->
-                    new Coupling(turn, counters, gate, sessions, terms, unitName, route, client, unit, whenOver).begin();
+                    new Coupling(turn, counters, gate, sessions, terms, unitName, route, client, unit,
+                    whenOver).begin();
                 new WebSocketProtocolHandshakeHandler(List.of(handshake), coupled).handleRequest(exchange);
             } catch (Exception e) {
                 LOG.log(Level.DEBUG, () -> "a client's upgrade failed: " + e);
@@ -195,19 +205,23 @@
                 }
                 URI uri;
                 try {
-                    uri = new URI("ws://" + address.getAddress().getHostAddress() + ":" + address.getPort() + path);
+                    uri = new URI("ws://" + address.getAddress().getHostAddress() + ":" + address.getPort()
+                        + path);
                 } catch (URISyntaxException e) {
                     end(Ending.NOT_SENT);
                     return;
                 }
-                limit = turn.in(timeoutUs > 0 ? Math.min(timeoutUs, leftUs) : leftUs, () -> end(Ending.TIMED_OUT));
-                WebSocketClientNegotiation negotiation = new WebSocketClientNegotiation(subprotocols, List.of()) {
+                limit = turn.in(timeoutUs > 0 ? Math.min(timeoutUs, leftUs) : leftUs,
+                    () -> end(Ending.TIMED_OUT));
+                WebSocketClientNegotiation negotiation = new WebSocketClientNegotiation(subprotocols,
+                    List.of()) {
                     @Override
                     public void beforeRequest(Map<String, List<String>> out) {
                         out.putAll(headers);
                     }
                 };
                 opening = WebSocketClient.connectionBuilder(turn.thread().getWorker(), buffers, uri)
+                    .setOptionMap(OptionMap.create(Options.TCP_NODELAY, true))
                     .setClientNegotiation(negotiation).connect();
                 opening.addNotifier(new IoFuture.HandlingNotifier<WebSocketChannel, Void>() {
                     @Override
@@ -217,7 +231,8 @@
 
                     @Override
                     public void handleFailed(java.io.IOException e, Void nothing) {
-                        turn.soon(() -> end(e instanceof java.net.ConnectException ? Ending.NOT_CONNECTED : Ending.ERRORED));
+                        turn.soon(() -> end(e instanceof java.net.ConnectException ? Ending.NOT_CONNECTED
+                            : Ending.ERRORED));
                     }
                 }, null);
             }
--- a/src/test/java/gatelock/ControlTest.java
+++ b/src/test/java/gatelock/ControlTest.java
@@ -26,9 +26,11 @@
 /** Versions from a control service on the way to a relay that serves, over sockets. */
 final class ControlTest {
     private static final long EPOCH = 1_700_000_000_000L;
-    private static final String PLAN = "{\"format\": 1, \"by\": \"test\", \"note\": \"%s\", \"unmatched\": \"refuse\",\n"
+    private static final String PLAN = "{\"format\": 1, \"by\": \"test\", \"note\": \"%s\", "
+        + "\"unmatched\": \"refuse\",\n"
         + " \"limits\": {\"few\": {\"ratePerS\": 0.5, \"burst\": %d}},\n"
-        + " \"routes\": [{\"name\": \"reads\", \"path\": \"/read\", \"class\": \"read\", \"limits\": [\"few\"]},\n"
+        + " \"routes\": [{\"name\": \"reads\", \"path\": \"/read\", \"class\": \"read\", \"limits\": "
+        + "[\"few\"]},\n"
         + "  {\"name\": \"claims\", \"path\": \"/claim\", \"class\": \"claim\"}]}";
 
     @TempDir
@@ -56,7 +58,8 @@
 
     private void start() throws Exception {
         Path operator = directory.resolve("operator.json");
-        Files.writeString(operator, "{\"control\": {\"services\": [\"" + control.address() + services + "\"], \"holdMs\": 500,"
+        Files.writeString(operator, "{\"control\": {\"services\": [\"" + control.address() + services
+            + "\"], \"holdMs\": 500,"
             + " \"mostWaitMs\": 400, \"directory\": \"" + directory.resolve("kept") + "\"}" + more + "}");
         all.start("--operator", operator.toString());
     }
@@ -86,7 +89,8 @@
         private void asks(int n) {
             try (Socket client = all.connect()) {
                 for (int i = 0; !over; i++) {
-                    ask(client, i % 2 == 0 ? "GET /read" : "POST /claim", "t" + n + "-" + i, "", i % 2 == 0 ? "" : "x");
+                    ask(client, i % 2 == 0 ? "GET /read" : "POST /claim", "t" + n + "-" + i, "", i % 2 == 0
+                        ? "" : "x");
                     StandIns.Came answer = read(client);
                     answers.merge(answer.head().substring(9, 12), 1, Integer::sum);
                 }
@@ -138,7 +142,8 @@
         assertThat(status("GET /read", "r3")).isEqualTo("503");
         assertThat(status("POST /post", "p1")).isEqualTo("404");
         served("POST /claim", "c1");
-        control.offer(EPOCH, "a", 2, plan("broken", 2).replace("\"class\": \"claim\"", "\"class\": \"clam\""));
+        control.offer(EPOCH, "a", 2, plan("broken", 2).replace("\"class\": \"claim\"",
+            "\"class\": \"clam\""));
         Map<String, Object> second = control.report(EPOCH + "/2");
         assertThat(second).containsEntry("accepted", false).containsEntry("version", 1);
         assertThat(second.get("findings").toString()).contains("M-CLASS", "/routes/1/class", "clam");
@@ -156,7 +161,8 @@
         try (Traffic traffic = new Traffic(4)) {
             control.manner(ControlService.Manner.STUBBORN);
             control.offer(EPOCH, "a", 9, plan("older", 1));
-            assertThat(control.report(EPOCH + "/9")).containsEntry("answer", "older").containsEntry("version", 10);
+            assertThat(control.report(EPOCH + "/9")).containsEntry("answer", "older")
+                .containsEntry("version", 10);
             control.offer(EPOCH, "a", 10, plan("a fork", 1));
             assertThat(forked()).containsEntry("version", 10);
             control.offer(EPOCH - 5, "a", 50, plan("an old copy", 1));
@@ -166,7 +172,8 @@
             assertThat(control.report(EPOCH + "/20")).containsEntry("accepted", true);
             StringBuilder huge = new StringBuilder("{\"format\": 1, \"routes\": [");
             for (int i = 0; i < 8_000; i++) {
-                huge.append(i == 0 ? "" : ",\n").append("{\"name\": \"r").append(i).append("\", \"path\": \"/x/").append(i)
+                huge.append(i == 0 ? "" : ",\n").append("{\"name\": \"r").append(i)
+                    .append("\", \"path\": \"/x/").append(i)
                     .append("\", \"class\": \"read\"}");
             }
             control.offer(EPOCH, "a", 21, huge + "], \"removes\": [\"reads\", \"claims\"]}");
@@ -275,7 +282,8 @@
 
     @Test
     void aLimitThatChangesWhileItsQueueIsFullLetsThoseGoThatMay() throws Exception {
-        String queued = plan("queue", 1).replace("\"burst\": 1", "\"burst\": 1, \"queue\": {\"length\": 3, \"waitMs\": 900}");
+        String queued = plan("queue", 1).replace("\"burst\": 1",
+            "\"burst\": 1, \"queue\": {\"length\": 3, \"waitMs\": 900}");
         control.offer(EPOCH, "a", 1, queued);
         start();
         control.report(EPOCH + "/1");
@@ -339,7 +347,8 @@
             control.manner(ControlService.Manner.STUBBORN);
             other.manner(ControlService.Manner.FAILING);
             for (int i = 0; i < 3; i++) {
-                assertThat(control.report(EPOCH + "/7")).containsEntry("answer", "old-epoch").containsEntry("version", 1);
+                assertThat(control.report(EPOCH + "/7")).containsEntry("answer", "old-epoch")
+                    .containsEntry("version", 1);
             }
             served("POST /claim", "c1");
             assertThat(all.log().split("is not applied, old-epoch", -1)).hasSize(2);
@@ -353,14 +362,19 @@
         more = ", \"listener\": \"" + at + "\", \"log\": {\"form\": \"json\"}";
         start();
         control.report(EPOCH + "/1");
-        control.offer(EPOCH, "a", 2, plan("second", 1_000_000).replace("claims", "CLAIMS").replace("}]}", "}], \"removes\": [\"claims\"]}"));
+        control.offer(EPOCH, "a", 2, plan("second", 1_000_000).replace("claims", "CLAIMS").replace("}]}",
+            "}], \"removes\": [\"claims\"]}"));
         control.report(EPOCH + "/2");
         assertThat(command(0, "status", "--at", at)).contains("inForce: " + EPOCH + "-a:2");
-        assertThat(command(0, "back", "1", "--why", "second is odd", "--at", at)).contains("inForce: " + EPOCH + "-a:1", "pinned: true");
+        assertThat(command(0, "back", "1", "--why", "second is odd", "--at", at)).contains("inForce: "
+            + EPOCH + "-a:1", "pinned: true");
         control.offer(EPOCH, "a", 3, plan("third", 1_000_000));
-        assertThat(control.report(EPOCH + "/3")).containsEntry("answer", "pinned").containsEntry("accepted", false);
-        assertThat(command(0, "history", "--at", at)).contains("by=test", "note=first", "from=operator: second is odd");
-        assertThat(command(1, "back", "77", "--why", "none", "--at", at)).contains("no version 77 is remembered");
+        assertThat(control.report(EPOCH + "/3")).containsEntry("answer", "pinned").containsEntry("accepted",
+            false);
+        assertThat(command(0, "history", "--at", at)).contains("by=test", "note=first",
+            "from=operator: second is odd");
+        assertThat(command(1, "back", "77", "--why", "none", "--at", at))
+            .contains("no version 77 is remembered");
         assertThat(command(0, "release", "--at", at)).contains("pinned: false");
         Map<String, Object> report = control.report(EPOCH + "/3");
         while (!Boolean.TRUE.equals(report.get("accepted"))) {
@@ -374,7 +388,8 @@
 
     private String command(int code, String... words) throws Exception {
         Process process = StandIns.java(words).redirectErrorStream(true).start();
-        String said = new String(process.getInputStream().readAllBytes(), java.nio.charset.StandardCharsets.UTF_8);
+        String said = new String(process.getInputStream().readAllBytes(),
+            java.nio.charset.StandardCharsets.UTF_8);
         assertThat(process.waitFor()).as(said).isEqualTo(code);
         return said;
     }
--- a/src/test/java/gatelock/RelayTest.java
+++ b/src/test/java/gatelock/RelayTest.java
@@ -36,7 +36,8 @@
         try (Socket client = all.connect()) {
             for (int i = 0; i < 20; i++) {
                 String id = "id" + i;
-                ask(client, "POST /post/a%20b?x=1&y", id, "Idempotency-Key: 77\r\nX-Expires-In-Ms: 900\r\n", "body");
+                ask(client, "POST /post/a%20b?x=1&y", id, "Idempotency-Key: 77\r\nX-Expires-In-Ms: 900\r\n",
+                    "body");
                 StandIns.Came at = all.unit.next();
                 assertThat(at.head()).startsWith("POST /post/a%20b?x=1&y HTTP/1.1\r\n");
                 assertThat(at.body()).isEqualTo("body");
@@ -127,7 +128,8 @@
     @Test
     void aReqOfNoUseIsToldSoAndHarmsNobody() throws Exception {
         all.start();
-        String[][] odd = {{"GET /nothing", "a", "", "404"}, {"GET /claim", "b", "", "405"}, {"POST /post", "c", "", "400"},
+        String[][] odd = {{"GET /nothing", "a", "", "404"}, {"GET /claim", "b", "", "405"}, {"POST /post",
+            "c", "", "400"},
             {"GET /read", "", "", "400"}};
         for (String[] o : odd) {
             try (Socket client = all.connect()) {
@@ -136,7 +138,8 @@
             }
         }
         try (Socket client = all.connect()) {
-            StandIns.write(client, "POST /claim HTTP/1.1\r\nHost: x\r\nX-Trace-Id: d\r\nContent-Length: 70000\r\n\r\n");
+            StandIns.write(client, "POST /claim HTTP/1.1\r\nHost: x\r\nX-Trace-Id: d\r\nContent-Length: "
+                + "70000\r\n\r\n");
             assertThat(read(client).head()).startsWith("HTTP/1.1 413");
         }
         try (Socket client = all.connect()) {
@@ -160,17 +163,23 @@
         String post = "POST /claim HTTP/1.1\r\nHost: x\r\nX-Trace-Id: odd\r\n";
         String get = "GET /read HTTP/1.1\r\nHost: x\r\n";
         String hidden = get + "X-Trace-Id: hidden\r\n\r\n";
-        for (String odd : new String[] {"noise\r\n\r\n", "\u0000\u0001\u0002", get + "X-Pad: p\r\n".repeat(5000), get,
-            get + "\r\n", get + "X-Trace-Id: a\r\nX-Trace-Id: b\r\n\r\n", get + "X-Trace-Id: odd\r\nContent-Length: 1\r\n\r\nx",
+        for (String odd : new String[] {"noise\r\n\r\n", "\u0000\u0001\u0002",
+            get + "X-Pad: p\r\n".repeat(5000), get,
+            get + "\r\n", get + "X-Trace-Id: a\r\nX-Trace-Id: b\r\n\r\n", get
+            + "X-Trace-Id: odd\r\nContent-Length: 1\r\n\r\nx",
             get.replace("read", "%72ead") + "X-Trace-Id: odd\r\n\r\n", hidden.replace("GET", "HEAD"),
             get.replace("/read", "http://x/read") + "X-Trace-Id: odd\r\n\r\n",
             post + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden,
             post + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nx", post + "Content-Length: -1\r\n\r\nx",
             post + "Content-Length: one\r\n\r\nx", post + "Content-Length: 18446744073709551617\r\n\r\nx",
-            post + "Transfer-Encoding: gzip\r\n\r\n1\r\nx\r\n0\r\n\r\n", post + "Transfer-Encoding: chunked\r\n\r\nzz\r\n",
-            post + "Transfer-Encoding: chunked\r\n\r\n5\r\nab", post + "Content-Length: 9\r\n\r\nhalf", post + "\r\n",
-            post + "X-Expires-In-Ms: soon\r\nContent-Length: 1\r\n\r\nx", post + "X-Expires-In-Ms: -5\r\nContent-Length: 1\r\n\r\nx",
-            post + "X-Expires-In-Ms: 0\r\nContent-Length: 1\r\n\r\nx", post + "X-Expires-In-Ms: \r\nContent-Length: 1\r\n\r\nx",
+            post + "Transfer-Encoding: gzip\r\n\r\n1\r\nx\r\n0\r\n\r\n", post
+            + "Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+            post + "Transfer-Encoding: chunked\r\n\r\n5\r\nab", post + "Content-Length: 9\r\n\r\nhalf", post
+            + "\r\n",
+            post + "X-Expires-In-Ms: soon\r\nContent-Length: 1\r\n\r\nx", post
+            + "X-Expires-In-Ms: -5\r\nContent-Length: 1\r\n\r\nx",
+            post + "X-Expires-In-Ms: 0\r\nContent-Length: 1\r\n\r\nx", post
+            + "X-Expires-In-Ms: \r\nContent-Length: 1\r\n\r\nx",
             post + "X-Expires-In-Ms: 99999999999999999999\r\nContent-Length: 1\r\n\r\nx",
             post + "X-Expires-In-Ms: 999999999\r\nContent-Length: 1\r\n\r\nx",
             post + "Expect: 100-continue\r\nContent-Length: 1\r\n\r\n"}) {
@@ -191,7 +200,8 @@
     void aBodyOfManyMegabytesIsRefusedWhileItComes() throws Exception {
         all.start();
         try (Socket client = all.connect()) {
-            StandIns.write(client, "POST /claim HTTP/1.1\r\nHost: x\r\nX-Trace-Id: d\r\nContent-Length: 62914560\r\n\r\n");
+            StandIns.write(client, "POST /claim HTTP/1.1\r\nHost: x\r\nX-Trace-Id: d\r\nContent-Length: "
+                + "62914560\r\n\r\n");
             StandIns.go(() -> {
                 for (int i = 0; i < 60; i++) {
                     client.getOutputStream().write(new byte[1024 * 1024]);
@@ -204,7 +214,8 @@
 
     @Test
     void clientsThatSayNothingMakeRoomAndAreClosed() throws Exception {
-        Files.writeString(all.config, Files.readString(all.config).replace("\"sockets\": 1024", "\"sockets\": 128"));
+        Files.writeString(all.config, Files.readString(all.config).replace("\"sockets\": 1024",
+            "\"sockets\": 128"));
         all.start();
         List<Socket> silent = new ArrayList<>();
         for (int i = 0; i < 120; i++) {
@@ -214,7 +225,8 @@
             ask(client, "GET /read", "usual", "", "");
             all.unit.next().answer("200 OK", "", "fine");
             assertThat(read(client).body()).isEqualTo("fine");
-            StandIns.write(slow, "POST /claim HTTP/1.1\r\nHost: x\r\nX-Trace-Id: d\r\nContent-Length: 9\r\n\r\nhalf");
+            StandIns.write(slow, "POST /claim HTTP/1.1\r\nHost: x\r\nX-Trace-Id: d\r\nContent-Length: "
+                + "9\r\n\r\nhalf");
             assertThat(ends(slow)).isTrue();
             assertThat(ends(client)).isTrue();
         }
@@ -226,7 +238,8 @@
 
     @Test
     void clientsThatAskOnceAndStayMakeRoomForThoseThatHaveJustCome() throws Exception {
-        Files.writeString(all.config, Files.readString(all.config).replace("\"sockets\": 1024", "\"sockets\": 128"));
+        Files.writeString(all.config, Files.readString(all.config).replace("\"sockets\": 1024",
+            "\"sockets\": 128"));
         all.start();
         List<Socket> staying = new ArrayList<>();
         for (int i = 0; i < 60; i++) {
@@ -303,7 +316,8 @@
         all.start();
         StandIns.Came first = all.desk.next();
         assertThat(first.head()).startsWith("GET /v2/projects/main/changes");
-        StandIns.chunk(StandIns.chunked(first), "{}\n{\"type\":\"news\",\"object\":" + StandIns.NEWS + "}\nnot json\n");
+        StandIns.chunk(StandIns.chunked(first), "{}\n{\"type\":\"news\",\"object\":" + StandIns.NEWS
+            + "}\nnot json\n");
         first.socket().close();
         assertThat(all.desk.next().head()).startsWith("GET /v2/projects/main/changes");
     }
@@ -313,11 +327,13 @@
         all.start();
         String ok = "HTTP/1.1 200 OK\r\n";
         String endless = "X-Pad: pppp\r\n".repeat(2000);
-        for (String spoilt : new String[] {"noise\r\n\r\nnoise", "HTTP/1.1 2x0 OK\r\nContent-Length: 1\r\n\r\nx",
+        for (String spoilt : new String[] {"noise\r\n\r\nnoise",
+            "HTTP/1.1 2x0 OK\r\nContent-Length: 1\r\n\r\nx",
             "HTTP/1.1 OK 200\r\n\r\n", ok + endless, "HTTP/1.1 100 Continue\r\n\r\n".repeat(1000),
             ok + "Content-Length: -1\r\n\r\nx", ok + "Content-Length: 3\r\nContent-Length: 5\r\n\r\nabcde",
             ok + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
-            ok + "Content-Length: 3000000000\r\n\r\nxxxx", ok + "Content-Length: 99999999999999999999\r\n\r\nx",
+            ok + "Content-Length: 3000000000\r\n\r\nxxxx", ok
+            + "Content-Length: 99999999999999999999\r\n\r\nx",
             ok + "Transfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\nzz\r\nabcde\r\n0\r\n\r\n",
             ok + "Transfer-Encoding: chunked\r\n\r\n-5\r\nabcde", ok + "Transfer-Encoding: gzip\r\n\r\nx",
             ok + "no header\r\nContent-Length: 1\r\n\r\nx", ok + "\r\nno length"}) {
@@ -394,8 +410,10 @@
         String entry = "{\"name\":\"a\",\"address\":\"" + all.other.address()
             + "\",\"status\":\"in_service\",\"since_ms\":0,\"image_id\":1}";
         String list = "{\"index\":5,\"snapshot\":true,\"endpoints\":[" + entry + "," + entry + "]}";
-        for (String spoilt : new String[] {list.substring(0, list.length() - 9), list + "x", "[]", "\u0000\u0001",
-            list.replace("\"image_id\":1}]", "\"image_id\":1e99}]"), list.replace("0,\"image_id\":1}]", "-7}]"),
+        for (String spoilt : new String[] {list.substring(0, list.length() - 9), list + "x", "[]",
+            "\u0000\u0001",
+            list.replace("\"image_id\":1}]", "\"image_id\":1e99}]"), list.replace("0,\"image_id\":1}]",
+            "-7}]"),
             list.replace("in_service", "zz_zzzzzzz"), list.replace("\"index\":5", "\"index\":\"5\"")}) {
             StandIns.Came asked = all.discovery.next();
             assertThat(asked.head()).startsWith("GET /api/targets HTTP/1.1");
@@ -434,7 +452,8 @@
             all.process.destroy();
             at.answer("200 OK", "", "answered");
             assertThat(read(client).body()).isEqualTo("answered");
-            // A connection that stands is served on for a while; then it ends, with an answer or between two reqs.
+            // A connection that stands is served on for a while; then it ends, with an answer or between two
+            // reqs.
             StandIns.go(() -> {
                 while (true) {
                     all.unit.next().answer("200 OK", "", "more");
--- a/src/test/java/gatelock/SessionsTest.java
+++ b/src/test/java/gatelock/SessionsTest.java
@@ -18,8 +18,10 @@
 
 /** WebSocket sessions through the program, with units and tablets that the test speaks for. */
 final class SessionsTest {
-    private static final String PLAN = "{\"format\": 1, \"unmatched\": \"refuse\", \"limits\": {\"few\": {\"inFlight\": 40}},"
-        + " \"routes\": [{\"name\": \"quick\", \"path\": \"/read/quick\", \"class\": \"read\", \"sessions\": {\"pingS\": 0.5}},"
+    private static final String PLAN = "{\"format\": 1, \"unmatched\": \"refuse\", \"limits\": {\"few\": "
+        + "{\"inFlight\": 40}},"
+        + " \"routes\": [{\"name\": \"quick\", \"path\": \"/read/quick\", \"class\": \"read\", "
+        + "\"sessions\": {\"pingS\": 0.5}},"
         + " {\"name\": \"watch\", \"path\": \"/read\", \"class\": \"read\", \"limits\": [\"few\"],"
         + " \"sessions\": {\"messageBytes\": 1000, \"pingS\": 10, \"idleS\": 30, \"framesPerS\": 300}}]}";
     private static final String ENTRY = "{\"name\":\"%s\",\"address\":\"%s\",\"status\":\"%s\",\"since_ms\":0,\"image_id\":%d}";
@@ -39,7 +41,8 @@
             .replace("\"deadlineNs\": 1000000000", "\"deadlineNs\": 2500000000"));
         control.offer(1, "s", 1, PLAN);
         Path operator = directory.resolve("operator.json");
-        Files.writeString(operator, "{\"control\": {\"services\": [\"" + control.address() + "\"], \"holdMs\": 500},"
+        Files.writeString(operator, "{\"control\": {\"services\": [\"" + control.address()
+            + "\"], \"holdMs\": 500},"
             + " \"sessions\": {\"drainS\": 2, \"opensPerUnitS\": 5}}");
         all.start("--operator", operator.toString());
         control.report("1/1");
@@ -136,9 +139,12 @@
     void whatIsAgainstTheProtocolEndsThatSessionWithItsCode() throws Exception {
         byte[] body = "x".getBytes();
         Object[][] cases = {
-            {"5.2 reserved bit", 0xC1, body, 1002}, {"5.2 unknown opcode", 0x83, body, 1002}, {"5.2 unknown control", 0x8B, body, 1002},
-            {"5.4 continuation of nothing", 0x80, body, 1002}, {"5.5 control over 125 bytes", 0x89, new byte[126], 1002},
-            {"5.5 control in fragments", 0x09, body, 1002}, {"8.1 no UTF-8", 0x81, new byte[] {(byte) 0xc3, (byte) 0x28}, 1007},
+            {"5.2 reserved bit", 0xC1, body, 1002}, {"5.2 unknown opcode", 0x83, body, 1002},
+                {"5.2 unknown control", 0x8B, body, 1002},
+            {"5.4 continuation of nothing", 0x80, body, 1002}, {"5.5 control over 125 bytes", 0x89,
+            new byte[126], 1002},
+            {"5.5 control in fragments", 0x09, body, 1002}, {"8.1 no UTF-8", 0x81,
+            new byte[] {(byte) 0xc3, (byte) 0x28}, 1007},
             {"10.4 too big", 0x81, "y".repeat(2000).getBytes(), 1009}};
         for (Object[] c : cases) {
             try (Tablet tablet = open("c" + c[0]); Tablet other = open("o" + c[0])) {
@@ -156,7 +162,8 @@
         try (Hive other = new Hive()) {
             String both = String.format(ENTRY, "a", hive.address(), "in_service", 1) + ","
                 + String.format(ENTRY, "b", other.address(), "%s", 1);
-            asked.answer("200 OK", "", "{\"index\":5,\"snapshot\":true,\"endpoints\":[" + String.format(both, "in_service") + "]}");
+            asked.answer("200 OK", "", "{\"index\":5,\"snapshot\":true,\"endpoints\":[" + String.format(both,
+                "in_service") + "]}");
             StandIns.Came watch = all.discovery.next();
             List<Tablet> tablets = new ArrayList<>();
             for (int i = 0; i < 30; i++) {
@@ -255,7 +262,8 @@
         try (Hive trial = new Hive()) {
             String state = "{\"type\":\"news\",\"object\":{\"release\":2,\"tranche\":0,\"mode\":\"%s\",\"exposure\":%s,\"old_ms\":1}}\n";
             StandIns.chunk(news, String.format(state, "trial", "0.2"));
-            list.answer("200 OK", "", "{\"index\":5,\"snapshot\":true,\"endpoints\":[" + String.format(ENTRY, "a", hive.address(),
+            list.answer("200 OK", "", "{\"index\":5,\"snapshot\":true,\"endpoints\":[" + String.format(ENTRY,
+                "a", hive.address(),
                 "in_service", 1) + "," + String.format(ENTRY, "b", trial.address(), "in_service", 2) + "]}");
             all.discovery.next();
             List<Tablet> tablets = new ArrayList<>();
@@ -296,21 +304,26 @@
             StandIns.chunk(news, String.format(state, "rolling_back", "0"));
             Thread.sleep(1_500);
             over.set(true);
-            List<Long> atTrial = trial.log().stream().filter(c -> c.what().startsWith("m") || c.what().equals("open"))
+            List<Long> atTrial = trial.log().stream().filter(c -> c.what().startsWith("m") || c.what()
+                .equals("open"))
                 .map(Hive.Came::ns).sorted().toList();
             List<Long> taken = java.util.stream.Stream.of(hive.log(), trial.log()).flatMap(List::stream)
-                .filter(c -> c.what().equals("open")).map(Hive.Came::ns).collect(java.util.stream.Collectors.toCollection(ArrayList::new));
+                .filter(c -> c.what().equals("open")).map(Hive.Came::ns)
+                .collect(java.util.stream.Collectors.toCollection(ArrayList::new));
             taken.addAll(saidNs);
             for (long from : atTrial) {
                 for (long spanNs : new long[] {100_000_000L, 500_000_000L, 2_000_000_000L}) {
                     long tries = atTrial.stream().filter(ns -> ns >= from && ns <= from + spanNs).count();
-                    long reqs = taken.stream().filter(ns -> ns >= from - 150_000_000L && ns <= from + spanNs).count();
-                    assertThat((double) tries).as("%d reqs in %d ns", reqs, spanNs).isLessThanOrEqualTo(2 + 2 + 0.24 * reqs);
+                    long reqs = taken.stream().filter(ns -> ns >= from - 150_000_000L && ns <= from + spanNs)
+                        .count();
+                    assertThat((double) tries).as("%d reqs in %d ns", reqs, spanNs).isLessThanOrEqualTo(2 + 2
+                        + 0.24 * reqs);
                 }
             }
             assertThat(atTrial.stream().filter(ns -> ns > backNs + 1_000_000_000L)).isEmpty();
             assertThat(atTrial.size()).as("the cap is used").isGreaterThan(20);
-            assertThat(trial.log().stream().filter(c -> c.what().equals("close 1001")).count()).isEqualTo(opens);
+            assertThat(trial.log().stream().filter(c -> c.what().equals("close 1001")).count())
+                .isEqualTo(opens);
             for (Tablet tablet : tablets) {
                 tablet.close();
             }
--- a/src/test/java/gatelock/StandIns.java
+++ b/src/test/java/gatelock/StandIns.java
@@ -18,7 +18,10 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
-/** The program as a process, and what it speaks to: units, discovery, the release desk, clients. Loopback only. */
+/**
+ * The program as a process, and what it speaks to: units, discovery, the release desk, clients. Loopback
+ * only.
+ */
 final class StandIns implements AutoCloseable {
     static final String NEWS =
         "{\"release\":1,\"tranche\":0,\"mode\":\"released\",\"exposure\":1.0,\"old_ms\":60000}";
@@ -26,7 +29,8 @@
     /** What came on one connection, whole: first line and headers, then the body. */
     record Came(Socket socket, String head, String body) {
         void answer(String status, String headers, String body) throws IOException {
-            write(socket, "HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: " + body.length() + "\r\n\r\n"
+            write(socket, "HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: " + body.length()
+                + "\r\n\r\n"
                 + body);
         }
 
@@ -143,7 +147,8 @@
 
     /** The program with these words, not started yet. */
     static ProcessBuilder java(String... words) {
-        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin",
+            "java").toString(),
             "-ea", "-Xmx64m", "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
             "gatelock.boot.Main"));
         command.addAll(List.of(words));
@@ -186,7 +191,8 @@
 
     /** A req of a route on a connection; its id and further headers as given. */
     static void ask(Socket client, String line, String id, String headers, String body) throws IOException {
-        write(client, line + " HTTP/1.1\r\nHost: api.internal\r\nX-Trace-Id: " + id + "\r\nX-Customer: acme\r\n"
+        write(client, line + " HTTP/1.1\r\nHost: api.internal\r\nX-Trace-Id: " + id
+            + "\r\nX-Customer: acme\r\n"
             + "Cookie: k=7f3a9c21e0b4d655\r\n" + headers
             + (line.startsWith("GET") ? "" : "Content-Length: " + body.length() + "\r\n") + "\r\n" + body);
     }
@@ -244,7 +250,8 @@
     }
 
     static void chunk(OutputStream out, String text) throws IOException {
-        out.write((Integer.toHexString(text.length()) + "\r\n" + text + "\r\n").getBytes(StandardCharsets.US_ASCII));
+        out.write((Integer.toHexString(text.length()) + "\r\n" + text + "\r\n")
+            .getBytes(StandardCharsets.US_ASCII));
         out.flush();
     }
 
--- a/src/test/java/gatelock/boot/CommandsTest.java
+++ b/src/test/java/gatelock/boot/CommandsTest.java
@@ -43,7 +43,8 @@
         assertThat(out.toString()).contains("good, 1 routes");
         String broken = file("broken.json", SOUND.replace("\"read\"", "\"reed\"").replace("5,", "0,"));
         assertThat(run("check", broken, "--deployment", "examples/relay.json")).isEqualTo(1);
-        assertThat(out.toString()).contains(broken + ":1:63 /limits/few/ratePerS M-ZERO", broken + ":2:57 /routes/0/class M-CLASS",
+        assertThat(out.toString()).contains(broken + ":1:63 /limits/few/ratePerS M-ZERO", broken
+            + ":2:57 /routes/0/class M-CLASS",
             "would be turned down");
         assertThat(run("check", broken, "--deployment", "examples/relay.json", "--json")).isEqualTo(1);
         Map<String, Object> said = JSON.std.mapFrom(out.toString());
@@ -70,11 +71,14 @@
         String other = file("other.json", SOUND.replace("\"ratePerS\": 5", "\"ratePerS\": 6"));
         assertThat(run("diff", sound, sound, "--deployment", "examples/relay.json")).isZero();
         assertThat(run("diff", sound, other, "--deployment", "examples/relay.json")).isEqualTo(1);
-        assertThat(out.toString()).contains("route reads: limits [few: per tenant, 6 reqs a second, 6 at once, 3 may wait for 50 ms]");
-        assertThat(run("explain", sound, "--deployment", "examples/relay.json", "--path", "/read/x", "--header", "X-A=1"))
+        assertThat(out.toString()).contains("route reads: limits [few: per tenant, 6 reqs a second, 6 at "
+            + "once, 3 may wait for 50 ms]");
+        assertThat(run("explain", sound, "--deployment", "examples/relay.json", "--path", "/read/x",
+            "--header", "X-A=1"))
             .isZero();
         assertThat(out.toString()).contains("route: reads", "class: read", "pools: all units");
-        assertThat(run("explain", sound, "--deployment", "examples/relay.json", "--path", "/a/../read")).isEqualTo(1);
+        assertThat(run("explain", sound, "--deployment", "examples/relay.json", "--path", "/a/../read"))
+            .isEqualTo(1);
         assertThat(out.toString()).contains("400");
     }
 
@@ -84,7 +88,8 @@
             assertThat(run("schema", which)).isZero();
             assertThat(JSON.std.mapFrom(out.toString())).containsKey("$schema");
         }
-        for (String command : new String[] {"serve", "check", "diff", "explain", "schema", "status", "history", "back", "release"}) {
+        for (String command : new String[] {"serve", "check", "diff", "explain", "schema", "status",
+            "history", "back", "release"}) {
             assertThat(run(command, "--help")).as(command).isZero();
             assertThat(out.toString()).contains("gatelock " + command);
         }
@@ -92,12 +97,15 @@
 
     @Test
     void anOperatorsFileIsCheckedAsAVersionIs() throws IOException {
-        for (String[] odd : new String[][] {{"{\"listener\": \"10.0.0.1:80\"}", "O-LISTENER"}, {"{\"control\": {}}", "S-REQUIRED"},
-                {"{\"control\": {\"services\": [\"127.0.0.1:99999\"]}}", "O-ADDRESS"}, {"{\"log\": {\"form\": \"xml\"}}", "S-ENUM"},
+        for (String[] odd : new String[][] {{"{\"listener\": \"10.0.0.1:80\"}", "O-LISTENER"},
+            {"{\"control\": {}}", "S-REQUIRED"},
+                {"{\"control\": {\"services\": [\"127.0.0.1:99999\"]}}", "O-ADDRESS"},
+                {"{\"log\": {\"form\": \"xml\"}}", "S-ENUM"},
                 {"{\"lisener\": \"127.0.0.1:80\"}", "S-ADDITIONALPROPERTIES"}, {"{", "G-JSON"}}) {
             Path file = Path.of(file("operator.json", odd[0]));
             assertThat(org.assertj.core.api.Assertions.catchThrowable(() -> Operator.read(file))).as(odd[0])
-                .isInstanceOf(IOException.class).hasMessageContaining(file + ":").hasMessageContaining(odd[1]);
+                .isInstanceOf(IOException.class).hasMessageContaining(file + ":")
+                .hasMessageContaining(odd[1]);
         }
         assertThat(Operator.read(Path.of("deploy/operator.json")).control()).isNotNull();
     }
--- a/src/test/java/gatelock/kept/ClientsTest.java
+++ b/src/test/java/gatelock/kept/ClientsTest.java
@@ -11,7 +11,9 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.DoubleRange;
 
-/** Random arrivals, partial reads, stalls, timers and answers against clients that know what they were owed. */
+/**
+ * Random arrivals, partial reads, stalls, timers and answers against clients that know what they were owed.
+ */
 final class ClientsTest {
     private static final int STEPS = 1_500;
 
@@ -67,7 +69,10 @@
             }
         }
 
-        /** One turn of the relay's thread: timers first, then what was accepted, then what can be read or written. */
+        /**
+         * One turn of the relay's thread: timers first, then what was accepted, then what can be read or
+         * written.
+         */
         private void turn(int accepted) {
             kept.endOverdue(nowUs);
             for (int i = 0; i < accepted; i++) {
@@ -104,7 +109,8 @@
     }
 
     @Property(tries = 300, seed = "16")
-    void noReqIsCutOffWhateverTheOrder(@ForAll long seed, @ForAll @DoubleRange(min = 0.01, max = 0.4) double share) {
+    void noReqIsCutOffWhateverTheOrder(@ForAll long seed, @ForAll @DoubleRange(min = 0.01,
+        max = 0.4) double share) {
         World world = new World(seed, 20, 40);
         for (int i = 0; i < STEPS; i++) {
             world.write(share);
--- a/src/test/java/gatelock/plan/AdmissionTest.java
+++ b/src/test/java/gatelock/plan/AdmissionTest.java
@@ -129,7 +129,8 @@
     void aVersionThatIsADangerBesideTheOneInForceIsTurnedDown() {
         list(6, 4);
         admission.follow(nowUs, Samples.plan(POOLS));
-        Plan without = Samples.plan(POOLS.replace(",\n  {'name': 'w', 'path': '/west', 'class': 'read', 'pool': 'west'}", ""));
+        Plan without = Samples.plan(POOLS.replace(",\n  {'name': 'w', 'path': '/west', 'class': 'read', "
+            + "'pool': 'west'}", ""));
         assertThat(admission.beside(nowUs, without)).extracting(Finding::code).doesNotContain("B-TRAFFIC");
         ask("/west");
         assertThat(admission.beside(nowUs, without)).extracting(Finding::code).contains("B-TRAFFIC");
@@ -138,7 +139,8 @@
         nowUs += 20 * SECOND;
         assertThat(admission.beside(nowUs, without)).extracting(Finding::code).doesNotContain("B-TRAFFIC");
         ask("/west");
-        String said = "{'format': 1, 'unmatched': 'refuse', 'removes': ['w'], 'pools': {'p': {'zones': ['%s']}},"
+        String said = "{'format': 1, 'unmatched': 'refuse', 'removes': ['w'], 'pools': {'p': {'zones': "
+            + "['%s']}},"
             + " 'routes': [{'name': 'r', 'path': '/read', 'class': 'read', 'pool': 'p'}]}";
         assertThat(admission.beside(nowUs, Samples.plan(String.format(said, "east")))).isEmpty();
         assertThat(admission.beside(nowUs, Samples.plan(String.format(said, "west"))))
--- a/src/test/java/gatelock/plan/BackoffTest.java
+++ b/src/test/java/gatelock/plan/BackoffTest.java
@@ -37,7 +37,8 @@
             later = s >= 30 ? Math.max(later, aSecond[s]) : later;
             sum += s >= 30 ? aSecond[s] : 0;
         }
-        // Full jitter: on average two a relay in 30 s. Without it a bound of 30 s would bring a thousand in one second.
+        // Full jitter: on average two a relay in 30 s. Without it a bound of 30 s would bring a thousand in
+        // one second.
         assertThat(first).isLessThan(4_000);
         assertThat(sum / 3_570.0).isBetween(60.0, 75.0);
         assertThat(later).isLessThan(120);
--- a/src/test/java/gatelock/plan/CompilerTest.java
+++ b/src/test/java/gatelock/plan/CompilerTest.java
@@ -13,7 +13,8 @@
 import org.junit.jupiter.api.TestFactory;
 
 /**
- * Broken versions, each with the findings it must bring: a file under plans/ begins with lines {@code # line:column
+ * Broken versions, each with the findings it must bring: a file under plans/ begins with lines {@code #
+ * line:column
  * pointer code}, one for each finding in order; the version follows, its lines counted from 1 again.
  */
 final class CompilerTest {
@@ -21,9 +22,11 @@
     @TestFactory
     Stream<DynamicTest> eachVersionBringsJustItsFindings() throws IOException {
         try (Stream<Path> files = Files.list(Path.of("src/test/resources/plans"))) {
-            return files.sorted().toList().stream().map(f -> DynamicTest.dynamicTest(f.getFileName().toString(), () -> {
+            return files.sorted().toList().stream()
+                .map(f -> DynamicTest.dynamicTest(f.getFileName().toString(), () -> {
                 List<String> lines = Files.readAllLines(f);
-                List<String> expected = lines.stream().takeWhile(l -> l.startsWith("# ")).map(l -> l.substring(2)).toList();
+                List<String> expected = lines.stream().takeWhile(l -> l.startsWith("# "))
+                    .map(l -> l.substring(2)).toList();
                 String text = String.join("\n", lines.subList(expected.size(), lines.size()));
                 Compiler.Compiled compiled = Samples.compiled(text);
                 assertThat(compiled.findings()).as("%s", compiled.findings())
--- a/src/test/java/gatelock/plan/LimitsTest.java
+++ b/src/test/java/gatelock/plan/LimitsTest.java
@@ -17,7 +17,8 @@
 final class LimitsTest {
     private static final long SECOND = 1_000_000;
 
-    private static Limit limit(String name, Limit.Per per, double perS, double burst, int inFlight, int length, long waitUs) {
+    private static Limit limit(String name, Limit.Per per, double perS, double burst, int inFlight,
+        int length, long waitUs) {
         return new Limit(name, per, perS / 1e6, burst, inFlight, length, waitUs);
     }
 
@@ -86,7 +87,8 @@
         Limit byTenant = limit("l", Limit.Per.TENANT, 100, 200, Integer.MAX_VALUE, 0, 0);
         limits.follow(SECOND, Map.of("l", byTenant));
         assertThat(passes(limits, SECOND, 30, byTenant)).as("counted for something else now").isEqualTo(1);
-        Limit free = limit("l", Limit.Per.TENANT, Double.POSITIVE_INFINITY, Double.POSITIVE_INFINITY, 1_000, 0, 0);
+        Limit free = limit("l", Limit.Per.TENANT, Double.POSITIVE_INFINITY, Double.POSITIVE_INFINITY, 1_000,
+            0, 0);
         limits.follow(SECOND, Map.of("l", free));
         assertThat(passes(limits, SECOND, 30, free)).isEqualTo(30);
         limits.follow(SECOND, Map.of("l", byTenant));
@@ -177,8 +179,10 @@
                 Limit.Per[] pers = Limit.Per.values();
                 Map<String, Limit> next = new HashMap<>();
                 for (int j = 0; j < its.length; j++) {
-                    its[j] = limit("l" + j, j == 0 ? Limit.Per.ALL : pers[random.nextInt(4)], 1 + random.nextInt(50),
-                        1 + random.nextInt(5), 1 + random.nextInt(6), random.nextInt(4), 1 + random.nextInt(500_000));
+                    its[j] = limit("l" + j, j == 0 ? Limit.Per.ALL : pers[random.nextInt(4)], 1
+                        + random.nextInt(50),
+                        1 + random.nextInt(5), 1 + random.nextInt(6), random.nextInt(4), 1
+                        + random.nextInt(500_000));
                     next.put(its[j].name(), its[j]);
                 }
                 limits.follow(nowUs, next);
--- a/src/test/java/gatelock/plan/PlanMeasure.java
+++ b/src/test/java/gatelock/plan/PlanMeasure.java
@@ -13,7 +13,8 @@
 import org.HdrHistogram.Histogram;
 
 /**
- * Measures the compiled table against a plain list, and what a version costs until it is in force. Not a test: run by
+ * Measures the compiled table against a plain list, and what a version costs until it is in force. Not a
+ * test: run by
  * {@code make measure-plan}; its table is kept in docs/measurements/versioned-configuration.md.
  */
 public final class PlanMeasure {
@@ -29,7 +30,8 @@
     }
 
     private static String path(SplittableRandom random, int entries) {
-        return "/s" + random.nextInt(Math.max(1, entries / 100)) + "/t" + random.nextInt(10) + "/u" + random.nextInt(10);
+        return "/s" + random.nextInt(Math.max(1, entries / 100)) + "/t" + random.nextInt(10) + "/u"
+            + random.nextInt(10);
     }
 
     private static void lookups() {
@@ -60,7 +62,8 @@
         List<String> path = Match.segments(asked.path());
         for (int i = 0; i < matches.size(); i++) {
             Match m = matches.get(i);
-            if (path.size() >= m.segments().size() && path.subList(0, m.segments().size()).equals(m.segments())
+            if (path.size() >= m.segments().size() && path.subList(0, m.segments().size())
+                .equals(m.segments())
                     && m.fitsBeside(asked)) {
                 return i;
             }
@@ -85,7 +88,8 @@
                 ns.recordValue((System.nanoTime() - fromNs) / BATCH);
             }
         }
-        System.out.printf("| %d | %s | %d | %d | %s |%n", entries, way, ns.getValueAtPercentile(50), ns.getValueAtPercentile(99),
+        System.out.printf("| %d | %s | %d | %d | %s |%n", entries, way, ns.getValueAtPercentile(50),
+            ns.getValueAtPercentile(99),
             bytes == 0 ? "" : "" + bytes);
     }
 
@@ -96,19 +100,24 @@
 
     private static void applies() {
         System.out.println();
-        System.out.println("| entries | bytes of text | ms to read, check and compile | us of the I/O thread to swap, p50 | most |");
+        System.out.println("| entries | bytes of text | ms to read, check and compile | us of the I/O "
+            + "thread to swap, p50 | most |");
         System.out.println("| --- | --- | --- | --- | --- |");
         for (int entries : new int[] {10, 1_000, 100_000}) {
             StringBuilder text = new StringBuilder("{\"format\": 1, \"pools\": {");
             int pools = Math.min(200, entries);
             for (int i = 0; i < pools; i++) {
-                text.append(i == 0 ? "" : ",").append("\"p").append(i).append("\": {\"zones\": [\"east\"], \"leastShare\": 0.5, ")
+                text.append(i == 0 ? "" : ",").append("\"p").append(i)
+                    .append("\": {\"zones\": [\"east\"], \"leastShare\": 0.5, ")
                     .append("\"fallback\": \"all\"}");
             }
-            text.append(", \"all\": {}}, \"limits\": {\"l\": {\"per\": \"tenant\", \"ratePerS\": 100}}, \"routes\": [");
+            text.append(", \"all\": {}}, \"limits\": {\"l\": {\"per\": \"tenant\", \"ratePerS\": 100}}, "
+                + "\"routes\": [");
             for (int i = 0; i < entries; i++) {
-                text.append(i == 0 ? "" : ",\n").append("{\"name\": \"r").append(i).append("\", \"path\": \"/s").append(i / 100)
-                    .append("/t").append(i % 100).append("\", \"class\": \"read\", \"pool\": \"p").append(i % pools)
+                text.append(i == 0 ? "" : ",\n").append("{\"name\": \"r").append(i)
+                    .append("\", \"path\": \"/s").append(i / 100)
+                    .append("/t").append(i % 100).append("\", \"class\": \"read\", \"pool\": \"p")
+                    .append(i % pools)
                     .append("\", \"limits\": [\"l\"]}");
             }
             byte[] bytes = text.append("]}").toString().getBytes(StandardCharsets.UTF_8);
@@ -132,7 +141,8 @@
                     swap.recordValue((System.nanoTime() - readyNs) / 1_000);
                 }
             }
-            System.out.printf("| %d | %d | %d | %d | %d |%n", entries, bytes.length, compile.getValueAtPercentile(50),
+            System.out.printf("| %d | %d | %d | %d | %d |%n", entries, bytes.length,
+                compile.getValueAtPercentile(50),
                 swap.getValueAtPercentile(50), swap.getMaxValue());
         }
     }
--- a/src/test/java/gatelock/plan/Samples.java
+++ b/src/test/java/gatelock/plan/Samples.java
@@ -20,7 +20,8 @@
 
     /** Compiles a version written with single quotes. */
     static Compiler.Compiled compiled(String text) {
-        return new Compiler(GROUNDS).compile(Stamp.Epoch.NONE, 1, text.replace('\'', '"').getBytes(StandardCharsets.UTF_8));
+        return new Compiler(GROUNDS).compile(Stamp.Epoch.NONE, 1, text.replace('\'', '"')
+            .getBytes(StandardCharsets.UTF_8));
     }
 
     static Plan plan(String text) {
--- a/src/test/java/gatelock/plan/SuccessionTest.java
+++ b/src/test/java/gatelock/plan/SuccessionTest.java
@@ -20,7 +20,8 @@
     private static final Stamp.Epoch NEW = new Stamp.Epoch(2, "a");
 
     private static Plan plan(Stamp stamp) {
-        return new Plan(stamp, "me", "why", false, List.of(), Map.of(), Map.of(), Retries.FREE, Map.of(), List.of());
+        return new Plan(stamp, "me", "why", false, List.of(), Map.of(), Map.of(), Retries.FREE, Map.of(),
+            List.of());
     }
 
     private static Stamp stamp(Stamp.Epoch epoch, long number) {
@@ -45,7 +46,8 @@
         assertThat(s.offered(stamp(OLD, 99))).as("an old copy").isEqualTo(Succession.Meeting.OLD_EPOCH);
         s.bad(stamp(NEW, 2), List.of(), true);
         assertThat(s.offered(stamp(NEW, 2))).isEqualTo(Succession.Meeting.REFUSED_BEFORE);
-        assertThat(s.offered(new Stamp(NEW, 3, stamp(NEW, 2).hash()))).as("the same text under another number")
+        assertThat(s.offered(new Stamp(NEW, 3, stamp(NEW, 2).hash())))
+            .as("the same text under another number")
             .isEqualTo(Succession.Meeting.REFUSED_BEFORE);
     }
 
@@ -62,7 +64,8 @@
         assertThat(s.offered(stamp(OLD, 6))).isEqualTo(Succession.Meeting.PINNED);
         assertThat(good(s, stamp(OLD, 6))).as("compiled meanwhile").isFalse();
         s.release();
-        assertThat(s.offered(stamp(OLD, 5))).as("the one that was gone back from").isEqualTo(Succession.Meeting.COMPILE);
+        assertThat(s.offered(stamp(OLD, 5))).as("the one that was gone back from")
+            .isEqualTo(Succession.Meeting.COMPILE);
         assertThat(good(s, stamp(OLD, 5))).isTrue();
         assertThat(s.inForce()).isEqualTo(stamp(OLD, 5));
     }
--- a/src/test/java/gatelock/plan/TableTest.java
+++ b/src/test/java/gatelock/plan/TableTest.java
@@ -20,7 +20,8 @@
 final class TableTest {
     private static final String[] SEGMENTS = {"a", "b", "c", "aa", "x%20y", ""};
     private static final String[] HOSTS = {"*", "one.lk", "*.lk", "*.one.lk", "two.one.lk"};
-    private static final String[] ASKED_HOSTS = {"one.lk", "two.one.lk", "lk", "One.LK", "three.two.one.lk", "other"};
+    private static final String[] ASKED_HOSTS = {"one.lk", "two.one.lk", "lk", "One.LK", "three.two.one.lk",
+        "other"};
 
     /** What a table means, word by word, with no regard to time. */
     private static Integer plain(List<Match> matches, Asked asked) {
@@ -54,7 +55,8 @@
     }
 
     private static Asked asked(RandomGenerator random) {
-        Map<String, String> headers = random.nextBoolean() ? Map.of() : Map.of("x-a", random.nextBoolean() ? "1" : "2");
+        Map<String, String> headers = random.nextBoolean() ? Map.of() : Map.of("x-a", random.nextBoolean()
+            ? "1" : "2");
         return new Asked(random.nextBoolean() ? "GET" : "POST", random.nextInt(9) == 0 ? null
             : ASKED_HOSTS[random.nextInt(ASKED_HOSTS.length)], path(random), headers::get);
     }
@@ -84,7 +86,8 @@
             for (int j = 0; j < 40 && some.covers(other); j++) {
                 Asked asked = asked(random);
                 if (plain(List.of(other), asked) != null) {
-                    assertThat(plain(List.of(some), asked)).as("%s covers %s, %s", some, other, asked).isNotNull();
+                    assertThat(plain(List.of(some), asked)).as("%s covers %s, %s", some, other, asked)
+                        .isNotNull();
                 }
             }
         }
@@ -92,11 +95,13 @@
 
     @Test
     void aPathThatAUnitMayReadAsAnotherIsOdd() {
-        for (String odd : new String[] {"a", "/a/../b", "/a/./b", "/..", "/a/%2e%2e/b", "/a/.%2E/b", "/a%2Fb", "/a%5cb", "//a",
+        for (String odd : new String[] {"a", "/a/../b", "/a/./b", "/..", "/a/%2e%2e/b", "/a/.%2E/b",
+            "/a%2Fb", "/a%5cb", "//a",
             "/a//b", "/a\\b", "/a/..;x/b", "/a%00"}) {
             assertThat(Match.odd(odd)).as(odd).isTrue();
         }
-        for (String usual : new String[] {"/", "/a", "/a/", "/a.b/..c", "/a%20b", "/a;v=1", "/.well-known/x"}) {
+        for (String usual : new String[] {"/", "/a", "/a/", "/a.b/..c", "/a%20b", "/a;v=1",
+            "/.well-known/x"}) {
             assertThat(Match.odd(usual)).as(usual).isFalse();
         }
     }
--- a/src/test/java/gatelock/session/SessionTest.java
+++ b/src/test/java/gatelock/session/SessionTest.java
@@ -56,7 +56,8 @@
             Session.Side side = random.nextBoolean() ? Session.Side.CLIENT : Session.Side.UNIT;
             boolean there = !peers.lost.contains(side) && !peers.cut.contains(side);
             switch (random.nextInt(4)) {
-                case 0 -> session.end(nowUs, Cause.values()[random.nextInt(Cause.values().length)], random.nextInt(2) * 100);
+                case 0 -> session.end(nowUs, Cause.values()[random.nextInt(Cause.values().length)],
+                    random.nextInt(2) * 100);
                 case 1 -> {
                     if (there) {
                         session.closed(nowUs, side, random.nextInt(5_100), "x");
@@ -88,7 +89,8 @@
     @Test
     void aDrainIsPacedByWhatTheOthersBearAndEndsInTime() {
         Sessions sessions = new Sessions(10_000, 20, 10 * SECOND, new SplittableRandom(1));
-        sessions.listed(1, Gate.ListForm.FULL, List.of(unit("a", 1, Listed.Health.READY), unit("b", 1, Listed.Health.READY),
+        sessions.listed(1, Gate.ListForm.FULL, List.of(unit("a", 1, Listed.Health.READY),
+            unit("b", 1, Listed.Health.READY),
             unit("c", 1, Listed.Health.READY)));
         List<Peers> at = new ArrayList<>();
         for (int i = 0; i < 600; i++) {
@@ -108,7 +110,8 @@
         }
         // Two units at 20 a second bear 400 in 10 s; what is left then goes all the same.
         assertThat(closedBefore).isEqualTo(600);
-        assertThat(at).allMatch(p -> p.closes.get(Session.Side.CLIENT) == 1012 && p.reason.matches(".* after [0-9]+ ms"));
+        assertThat(at).allMatch(p -> p.closes.get(Session.Side.CLIENT) == 1012
+            && p.reason.matches(".* after [0-9]+ ms"));
         sessions.due(14 * SECOND);
         assertThat(sessions.size()).isZero();
         assertThat(sessions.mustLeave()).isZero();
@@ -117,7 +120,8 @@
     @Test
     void aBuildThatGoesBackTakesItsSessionsAlongAtOnceAndNoOthers() {
         Sessions sessions = new Sessions(10, 20, 10 * SECOND, new SplittableRandom(1));
-        sessions.listed(1, Gate.ListForm.FULL, List.of(unit("a", 1, Listed.Health.READY), unit("b", 2, Listed.Health.READY)));
+        sessions.listed(1, Gate.ListForm.FULL, List.of(unit("a", 1, Listed.Health.READY),
+            unit("b", 2, Listed.Health.READY)));
         sessions.news(1, 2, Gate.Phase.TRIAL);
         Peers old = new Peers();
         Peers trial = new Peers();
--- a/src/test/java/gatelock/standin/ControlService.java
+++ b/src/test/java/gatelock/standin/ControlService.java
@@ -16,7 +16,9 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
-/** A control service: holds one version, hands it to whoever holds another, and notes all that relays tell it. */
+/**
+ * A control service: holds one version, hands it to whoever holds another, and notes all that relays tell it.
+ */
 public final class ControlService implements AutoCloseable {
     /** How it serves a call. */
     public enum Manner {
@@ -139,7 +141,8 @@
     }
 
     private Version await(Map<String, Object> said) throws InterruptedException {
-        long untilNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(((Number) said.get("hold_ms")).longValue());
+        long untilNs = System.nanoTime()
+            + TimeUnit.MILLISECONDS.toNanos(((Number) said.get("hold_ms")).longValue());
         while (!closed) {
             long leftMs = TimeUnit.NANOSECONDS.toMillis(untilNs - System.nanoTime());
             boolean later = version != null && (!(version.born + "-" + version.id).equals(said.get("epoch"))
--- a/src/test/java/gatelock/standin/Demo.java
+++ b/src/test/java/gatelock/standin/Demo.java
@@ -12,7 +12,8 @@
 import java.util.TreeMap;
 
 /**
- * Versions on their way to a relay that serves, to look at: stand-ins for units, discovery, desk and control service, the
+ * Versions on their way to a relay that serves, to look at: stand-ins for units, discovery, desk and control
+ * service, the
  * built program, reqs all the time. Run by {@code make demo}.
  */
 public final class Demo {
@@ -49,31 +50,39 @@
             Files.writeString(config, village.configuration(Files.readString(Path.of("examples/relay.json")),
                 "127.0.0.1:" + port));
             Path operator = directory.resolve("operator.json");
-            Files.writeString(operator, "{\"control\": {\"services\": [\"" + control.address() + "\"], \"holdMs\": 1000},"
+            Files.writeString(operator, "{\"control\": {\"services\": [\"" + control.address()
+                + "\"], \"holdMs\": 1000},"
                 + " \"listener\": \"127.0.0.1:" + window + "\"}");
             long born = System.currentTimeMillis();
-            control.offer(born, "demo", 1, String.format(SOUND, "reads go to zone east, 50 a second", 50, "near", "proven"));
-            ProcessBuilder builder = new ProcessBuilder("java", "-jar", jar.toString(), "serve", "--cold", "--operator",
+            control.offer(born, "demo", 1, String.format(SOUND, "reads go to zone east, 50 a second", 50,
+                "near", "proven"));
+            ProcessBuilder builder = new ProcessBuilder("java", "-jar", jar.toString(), "serve", "--cold",
+                "--operator",
                 operator.toString()).redirectError(directory.resolve("relay.log").toFile());
             builder.environment().put("PROXY_CONFIG", config.toString());
             Process relay = builder.start();
             try {
-                say("a relay with 4 units and a control service; its log is " + directory.resolve("relay.log"));
+                say("a relay with 4 units and a control service; its log is "
+                    + directory.resolve("relay.log"));
                 while (ask(port, "GET", "/-/ready") != 200) {
                     Thread.sleep(50);
                 }
                 show(control, born, 1, port, village);
-                control.offer(born, "demo", 2, String.format(SOUND, "claims are tried again", 50, "near", "again"));
+                control.offer(born, "demo", 2, String.format(SOUND, "claims are tried again", 50, "near",
+                    "again"));
                 show(control, born, 2, port, village);
-                control.offer(born, "demo", 3, String.format(SOUND, "reads go everywhere, 10 a second", 10, "all", "proven"));
+                control.offer(born, "demo", 3, String.format(SOUND, "reads go everywhere, 10 a second", 10,
+                    "all", "proven"));
                 show(control, born, 3, port, village);
                 control.manner(ControlService.Manner.SILENT);
                 say("the control service falls silent");
                 traffic(port, village);
                 control.manner(ControlService.Manner.USUAL);
-                control.offer(born - 1000, "demo", 9, String.format(SOUND, "an old copy", 500, "all", "proven"));
+                control.offer(born - 1000, "demo", 9, String.format(SOUND, "an old copy", 500, "all",
+                    "proven"));
                 show(control, born - 1000, 9, port, village);
-                say("status: " + new String(URI.create("http://127.0.0.1:" + window + "/status").toURL().openStream()
+                say("status: " + new String(URI.create("http://127.0.0.1:" + window + "/status").toURL()
+                    .openStream()
                     .readAllBytes()));
                 say(sent + " reqs, answers by status " + answers + ", every one answered");
             } finally {
@@ -83,10 +92,13 @@
         }
     }
 
-    private void show(ControlService control, long born, int number, int port, Village village) throws Exception {
+    private void show(ControlService control, long born, int number, int port,
+        Village village) throws Exception {
         Map<String, Object> report = control.report(born + "/" + number);
-        say("version " + number + ": " + (Boolean.TRUE.equals(report.get("accepted")) ? "in force" : "turned down ("
-            + report.get("answer") + "), " + report.get("version") + " stays" + (report.containsKey("findings") ? ": "
+        say("version " + number + ": " + (Boolean.TRUE.equals(report.get("accepted")) ? "in force"
+            : "turned down ("
+            + report.get("answer") + "), " + report.get("version") + " stays"
+            + (report.containsKey("findings") ? ": "
             + report.get("findings") : "")));
         traffic(port, village);
     }
@@ -105,14 +117,16 @@
         }
         StringBuilder units = new StringBuilder();
         for (int i = 0; i < 4; i++) {
-            units.append(units.length() == 0 ? "" : ", ").append((char) ('a' + i)).append(' ').append(village.did(i) - before[i]);
+            units.append(units.length() == 0 ? "" : ", ").append((char) ('a' + i)).append(' ')
+                .append(village.did(i) - before[i]);
         }
         say("   100 reqs: answers " + now + "; units " + units);
     }
 
     private int ask(int port, String method, String path) {
         try {
-            HttpURLConnection call = (HttpURLConnection) URI.create("http://127.0.0.1:" + port + path).toURL().openConnection();
+            HttpURLConnection call = (HttpURLConnection) URI.create("http://127.0.0.1:" + port + path)
+                .toURL().openConnection();
             call.setRequestMethod(method);
             call.setRequestProperty("X-Trace-Id", "demo-" + sent + "-" + System.nanoTime());
             call.setRequestProperty("X-Customer", "acme");
--- a/src/test/java/gatelock/standin/Hive.java
+++ b/src/test/java/gatelock/standin/Hive.java
@@ -30,6 +30,7 @@
         thread(() -> {
             while (!listener.isClosed()) {
                 Socket socket = listener.accept();
+                socket.setTcpNoDelay(true);
                 sockets.add(socket);
                 thread(() -> serve(socket));
             }
@@ -79,32 +80,50 @@
         return tablet;
     }
 
-    private void serve(Socket socket) throws Exception {
+    private static String head(Socket socket) throws IOException {
         StringBuilder head = new StringBuilder();
         while (!head.toString().endsWith("\r\n\r\n")) {
             int b = socket.getInputStream().read();
             if (b < 0) {
-                return;
+                throw new IOException("it ended");
             }
             head.append((char) b);
         }
-        String key = head.toString().lines().filter(l -> l.toLowerCase().startsWith("sec-websocket-key:"))
-            .map(l -> l.substring(18).trim()).findFirst().orElse(null);
-        if (refuses || key == null) {
-            socket.getOutputStream().write("HTTP/1.1 503 No\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n".getBytes());
-            socket.close();
-            return;
+        return head.toString();
+    }
+
+    private static void write(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+    }
+
+    private void serve(Socket socket) throws Exception {
+        String key = null;
+        while (key == null) {
+            String head = head(socket);
+            key = head.lines().filter(l -> l.toLowerCase().startsWith("sec-websocket-key:"))
+                .map(l -> l.substring(18).trim()).findFirst().orElse(null);
+            if (refuses) {
+                write(socket, "HTTP/1.1 503 No\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n");
+                socket.close();
+                return;
+            }
+            if (key == null) {
+                // An ordinary req.
+                write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\ndone\n");
+            }
         }
         log.add(new Came(System.nanoTime(), "open"));
         String accept = Base64.getEncoder().encodeToString(MessageDigest.getInstance("SHA-1").digest(
             (key + "258EAFA5-E914-47DA-95CA-C5AB0DC85B11").getBytes(StandardCharsets.US_ASCII)));
-        socket.getOutputStream().write(("HTTP/1.1 101 Switching Protocols\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
+        socket.getOutputStream().write(("HTTP/1.1 101 Switching Protocols\r\nUpgrade: "
+            + "websocket\r\nConnection: Upgrade\r\n"
             + "Sec-WebSocket-Accept: " + accept + "\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
         Tablet end = new Tablet(socket, false);
         opened.add(end);
         if (echoes) {
             for (Tablet.Frame f = end.frame(); f.opcode() >= 0; f = end.frame()) {
-                log.add(new Came(System.nanoTime(), f.opcode() == Tablet.CLOSE ? "close " + f.code() : f.text()));
+                log.add(new Came(System.nanoTime(), f.opcode() == Tablet.CLOSE ? "close " + f.code()
+                    : f.text()));
                 if (f.opcode() == Tablet.CLOSE) {
                     end.frame(0x80 | Tablet.CLOSE, f.body());
                     socket.close();
--- a/src/test/java/gatelock/standin/SwarmMeasure.java
+++ b/src/test/java/gatelock/standin/SwarmMeasure.java
@@ -18,7 +18,8 @@
 
 /**
  * Measures service through a relay while 200 versions a second come, against none. Not a test: run by
- * {@code make measure-swarm}. Reqs are sent at set times, 400 a second, and timed from these, so that a stall counts for
+ * {@code make measure-swarm}. Reqs are sent at set times, 400 a second, and timed from these, so that a stall
+ * counts for
  * all that should have been sent in it.
  */
 public final class SwarmMeasure {
@@ -40,9 +41,11 @@
             Files.writeString(config, village.configuration(Files.readString(Path.of("examples/relay.json")),
                 "127.0.0.1:" + port));
             Path operator = directory.resolve("operator.json");
-            Files.writeString(operator, "{\"control\": {\"services\": [\"" + control.address() + "\"], \"holdMs\": 1000}}");
+            Files.writeString(operator, "{\"control\": {\"services\": [\"" + control.address()
+                + "\"], \"holdMs\": 1000}}");
             control.offer(1, "m", 1, plan(1, 100));
-            ProcessBuilder builder = new ProcessBuilder("java", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xms96m",
+            ProcessBuilder builder = new ProcessBuilder("java", "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1", "-Xms96m",
                 "-Xmx96m", "-jar", "target/gatelock.jar", "serve", "--operator", operator.toString())
                 .redirectError(directory.resolve("relay.log").toFile());
             builder.environment().put("PROXY_CONFIG", config.toString());
@@ -83,16 +86,19 @@
     }
 
     private static String plan(int number, int routes) {
-        StringBuilder text = new StringBuilder("{\"format\": 1, \"note\": \"" + number + "\", \"pools\": {\"all\": {}}, \"limits\": "
-            + "{\"l\": {\"ratePerS\": 100000}}, \"routes\": [{\"name\": \"reads\", \"path\": \"/read\", \"class\": \"read\", "
+        StringBuilder text = new StringBuilder("{\"format\": 1, \"note\": \"" + number
+            + "\", \"pools\": {\"all\": {}}, \"limits\": "
+            + "{\"l\": {\"ratePerS\": 100000}}, \"routes\": [{\"name\": \"reads\", \"path\": \"/read\", "
+            + "\"class\": \"read\", "
             + "\"pool\": \"all\", \"limits\": [\"l\"]}");
         for (int i = 1; i < routes; i++) {
-            text.append(", {\"name\": \"r").append(i).append("\", \"path\": \"/x/").append(i).append("\", \"class\": \"read\"}");
+            text.append(", {\"name\": \"r").append(i).append("\", \"path\": \"/x/").append(i)
+                .append("\", \"class\": \"read\"}");
         }
         return text.append("]}").toString();
     }
 
-    private static Histogram load(int port, int seconds) throws InterruptedException {
+    static Histogram load(int port, int seconds) throws InterruptedException {
         Histogram us = new ConcurrentHistogram(3);
         List<Thread> clients = new ArrayList<>();
         long fromNs = System.nanoTime() + 100_000_000;
@@ -124,11 +130,13 @@
 
     private static void ask(Socket socket, String id) throws IOException {
         OutputStream out = socket.getOutputStream();
-        out.write(("GET /read/x HTTP/1.1\r\nHost: x\r\nX-Trace-Id: " + id + "\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+        out.write(("GET /read/x HTTP/1.1\r\nHost: x\r\nX-Trace-Id: " + id + "\r\n\r\n")
+            .getBytes(StandardCharsets.US_ASCII));
         InputStream in = socket.getInputStream();
         byte[] some = new byte[4_096];
         StringBuilder got = new StringBuilder();
-        while (got.indexOf("\r\n\r\n") < 0 || !got.toString().startsWith("HTTP/1.1 200") || !got.toString().endsWith("\n")) {
+        while (got.indexOf("\r\n\r\n") < 0 || !got.toString().startsWith("HTTP/1.1 200") || !got.toString()
+            .endsWith("\n")) {
             int n = in.read(some);
             if (n < 0 || got.length() > 4_096) {
                 throw new IOException("no answer: " + got);
@@ -139,7 +147,8 @@
 
     private static void say(String what, Histogram us) {
         System.out.printf("| %s | %d | %.2f%% | %.2f | %.2f | %.2f |%n", what, us.getTotalCount(),
-            us.getPercentileAtOrBelowValue(250_000), us.getValueAtPercentile(50) / 1e3, us.getValueAtPercentile(99) / 1e3,
+            us.getPercentileAtOrBelowValue(250_000), us.getValueAtPercentile(50) / 1e3,
+            us.getValueAtPercentile(99) / 1e3,
             us.getMaxValue() / 1e3);
     }
 }
--- a/src/test/java/gatelock/standin/Tablet.java
+++ b/src/test/java/gatelock/standin/Tablet.java
@@ -1,5 +1,6 @@
 package gatelock.standin;
 
+import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
 import java.io.EOFException;
 import java.io.IOException;
@@ -10,7 +11,8 @@
 import java.util.Arrays;
 
 /**
- * One side of a WebSocket connection, byte by byte as RFC 6455 has it, so that a test can also send what nobody should. As a
+ * One side of a WebSocket connection, byte by byte as RFC 6455 has it, so that a test can also send what
+ * nobody should. As a
  * client it masks its frames, as a server it does not.
  */
 public final class Tablet implements AutoCloseable {
@@ -52,8 +54,10 @@
         Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
         socket.setSoTimeout(20_000);
         socket.setTcpNoDelay(true);
-        socket.getOutputStream().write(("GET " + path + " HTTP/1.1\r\nHost: x\r\nX-Trace-Id: " + id + "\r\nUpgrade: websocket\r\n"
-            + "Connection: Upgrade\r\nSec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\nSec-WebSocket-Version: 13\r\n" + headers
+        socket.getOutputStream().write(("GET " + path + " HTTP/1.1\r\nHost: x\r\nX-Trace-Id: " + id
+            + "\r\nUpgrade: websocket\r\n"
+            + "Connection: Upgrade\r\nSec-WebSocket-Key: "
+            + "dGhlIHNhbXBsZSBub25jZQ==\r\nSec-WebSocket-Version: 13\r\n" + headers
             + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
         Tablet tablet = new Tablet(socket, true);
         StringBuilder head = new StringBuilder();
@@ -125,10 +129,12 @@
     }
 
     public void raw(byte[]... parts) throws IOException {
-        OutputStream out = socket.getOutputStream();
+        ByteArrayOutputStream whole = new ByteArrayOutputStream();
         for (byte[] part : parts) {
-            out.write(part);
+            whole.writeBytes(part);
         }
+        OutputStream out = socket.getOutputStream();
+        out.write(whole.toByteArray());
         out.flush();
     }
 
