--- a/src/test/java/gatelock/standin/Village.java
+++ b/src/test/java/gatelock/standin/Village.java
@@ -14,7 +14,10 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicLong;
 
-/** All that a relay of examples/relay.json speaks to, on free ports: units that take 5 ms, discovery, the release desk. */
+/**
+ * All that a relay of examples/relay.json speaks to, on free ports: units that take 5 ms, discovery, the
+ * release desk.
+ */
 public final class Village implements AutoCloseable {
     private static final String NEWS =
         "{\"release\":1,\"tranche\":0,\"mode\":\"released\",\"exposure\":1.0,\"old_ms\":60000}";
@@ -43,7 +46,8 @@
                 call.getRequestBody().readAllBytes();
                 sleep(5);
                 mine.incrementAndGet();
-                answer(call, "unit " + name + " did " + call.getRequestMethod() + " " + call.getRequestURI() + "\n");
+                answer(call, "unit " + name + " did " + call.getRequestMethod() + " " + call.getRequestURI()
+                    + "\n");
             });
             units.add(unit);
         }
@@ -60,7 +64,8 @@
         desk.createContext("/v2/projects/main/changes", call -> {
             call.sendResponseHeaders(200, 0);
             try (OutputStream out = call.getResponseBody()) {
-                out.write(("{\"type\":\"news\",\"object\":" + NEWS + "}\n").getBytes(StandardCharsets.US_ASCII));
+                out.write(("{\"type\":\"news\",\"object\":" + NEWS + "}\n")
+                    .getBytes(StandardCharsets.US_ASCII));
                 while (true) {
                     out.flush();
                     sleep(1000);
@@ -81,9 +86,11 @@
 
     /** The example's configuration with this village's addresses, two zones, and the relay's own address. */
     public String configuration(String example, String listen) {
-        String known = "{\"index\": 1, \"snapshot\": true, \"endpoints\": " + entries() + "},\n  \"settings\"";
+        String known = "{\"index\": 1, \"snapshot\": true, \"endpoints\": " + entries()
+            + "},\n  \"settings\"";
         return example.replace("127.0.0.1:8480", listen).replace("127.0.0.1:8500", at(discovery))
-            .replace("127.0.0.1:8501", at(desk)).replace("\"zones\": [\"east\"]", "\"zones\": [\"east\", \"west\"]")
+            .replace("127.0.0.1:8501", at(desk)).replace("\"zones\": [\"east\"]",
+            "\"zones\": [\"east\", \"west\"]")
             .replaceFirst("(?s)\\{\"index\".*?\\]\\},\\s*\"settings\"", known);
     }
 
@@ -95,7 +102,8 @@
         List<String> entries = new ArrayList<>();
         for (int i = 0; i < units.size(); i++) {
             entries.add(String.format("{\"name\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"type\":\"small\",\"group\":0,"
-                + "\"status\":\"in_service\",\"weight\":1.0,\"since_ms\":0,\"image_id\":1}", name(i), at(units.get(i)),
+                + "\"status\":\"in_service\",\"weight\":1.0,\"since_ms\":0,\"image_id\":1}", name(i),
+                at(units.get(i)),
                 i % 2 == 0 ? "east" : "west"));
         }
         return entries.toString();
@@ -106,7 +114,8 @@
     }
 
     private HttpServer server() throws IOException {
-        HttpServer server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 100);
+        HttpServer server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+            100);
         server.setExecutor(threads);
         server.start();
         servers.add(server);
