Limits, class names and the question for a session stand once each

Read again: shedding one that waits stood three times in Limits, a class's name by place twice, whether a req opens a session twice in TakeIn.

--- a/src/main/java/gatelock/plan/Diff.java
+++ b/src/main/java/gatelock/plan/Diff.java
@@ -52,7 +52,7 @@
             Entry is = after.entries().get(name);
             if (was == null) {
                 lines.add("route " + name + " is new: " + words(is.match()) + " to class "
-                    + className(is.classNo()) + ", pool "
+                    + grounds.className(is.classNo()) + ", pool "
                     + pool(is) + landsNow(is, before));
             } else if (is == null) {
                 lines.add("route " + name + " is gone: " + words(was.match()) + landsNow(was, after));
@@ -78,7 +78,7 @@
 
     private void changed(String name, Entry was, Entry is) {
         say(name, "is for", words(was.match()), words(is.match()));
-        say(name, "class", className(was.classNo()), className(is.classNo()));
+        say(name, "class", grounds.className(was.classNo()), grounds.className(is.classNo()));
         say(name, "pool", pool(was), pool(is));
         say(name, "limits", was.limits().stream().map(Explain::words).toList(),
             is.limits().stream().map(Explain::words).toList());
@@ -152,12 +152,6 @@
         }
     }
 
-    private String className(int classNo) {
-        return grounds.classes().entrySet().stream().filter(e -> e.getValue() == classNo)
-            .map(Map.Entry::getKey)
-            .findFirst().orElse("?");
-    }
-
     private static String pool(Entry e) {
         return e.pool() == null ? "all units" : e.pool();
     }
--- a/src/main/java/gatelock/plan/Explain.java
+++ b/src/main/java/gatelock/plan/Explain.java
@@ -25,8 +25,7 @@
             return said;
         }
         said.put("route", entry.name());
-        said.put("class", grounds.classes().entrySet().stream().filter(e -> e.getValue() == entry.classNo())
-            .map(Map.Entry::getKey).findFirst().orElse("?"));
+        said.put("class", grounds.className(entry.classNo()));
         List<String> chain = plan.chain(entry.pool());
         said.put("pools", chain.isEmpty() ? "all units" : String.join(", then ", chain));
         List<String> limits = new ArrayList<>();
--- a/src/main/java/gatelock/plan/Grounds.java
+++ b/src/main/java/gatelock/plan/Grounds.java
@@ -15,4 +15,10 @@
  */
 public record Grounds(Map<String, Integer> classes, List<Route> terms, List<Long> deadlinesUs,
                       Map<String, Integer> tenants, List<String> zones, List<String> kinds) {
+
+    /** A class's name by its place. */
+    String className(int place) {
+        return classes.entrySet().stream().filter(e -> e.getValue() == place).map(Map.Entry::getKey).findFirst()
+            .orElse("?");
+    }
 }
--- a/src/main/java/gatelock/plan/Limits.java
+++ b/src/main/java/gatelock/plan/Limits.java
@@ -47,6 +47,11 @@
             this.tokens = tokens;
         }
 
+        /** The tenant's part of the queue that is the longest; somebody must wait. */
+        private ArrayDeque<Ticket> longest() {
+            return queue.values().stream().max(Comparator.comparingInt(ArrayDeque::size)).orElseThrow();
+        }
+
         /** Earns what came in since, at the rate that held. */
         private void earn(long nowUs) {
             if (limit.perUs() == Double.POSITIVE_INFINITY) {
@@ -216,16 +221,11 @@
             return false;
         }
         if (c.queued >= c.limit.queueLength()) {
-            ArrayDeque<Ticket> longest = c.queue.values().stream()
-                .max(Comparator.comparingInt(ArrayDeque::size))
-                .orElseThrow();
             ArrayDeque<Ticket> own = c.queue.get(ticket.tenant);
-            if (longest.size() <= (own == null ? 0 : own.size()) + 1) {
+            if (c.longest().size() <= (own == null ? 0 : own.size()) + 1) {
                 return false;
             }
-            Ticket last = longest.peekLast();
-            leaveQueue(last);
-            last.waiting.shed(nowUs, pauseUs(nowUs, last.counts));
+            shedQueued(nowUs, c.longest().peekLast());
         }
         ticket.waitsFor = c;
         ticket.waitsUntilUs = untilUs;
@@ -240,6 +240,11 @@
         return true;
     }
 
+    private void shedQueued(long nowUs, Ticket ticket) {
+        leaveQueue(ticket);
+        ticket.waiting.shed(nowUs, pauseUs(nowUs, ticket.counts));
+    }
+
     private void leaveQueue(Ticket ticket) {
         Count c = ticket.waitsFor;
         ArrayDeque<Ticket> own = c.queue.get(ticket.tenant);
@@ -292,9 +297,7 @@
         for (Count c : List.copyOf(busy)) {
             for (ArrayDeque<Ticket> own : List.copyOf(c.queue.values())) {
                 while (!own.isEmpty() && own.peekFirst().waitsUntilUs <= nowUs) {
-                    Ticket first = own.peekFirst();
-                    leaveQueue(first);
-                    first.waiting.shed(nowUs, pauseUs(nowUs, first.counts));
+                    shedQueued(nowUs, own.peekFirst());
                 }
             }
             serve(nowUs, c);
@@ -317,12 +320,7 @@
                 c.become(nowUs, next);
             }
             while (c.queued > c.limit.queueLength()) {
-                ArrayDeque<Ticket> longest = c.queue.values().stream()
-                    .max(Comparator.comparingInt(ArrayDeque::size))
-                    .orElseThrow();
-                Ticket last = longest.peekLast();
-                leaveQueue(last);
-                last.waiting.shed(nowUs, pauseUs(nowUs, last.counts));
+                shedQueued(nowUs, c.longest().peekLast());
             }
             serve(nowUs, c);
         }
--- a/src/main/java/gatelock/wire/TakeIn.java
+++ b/src/main/java/gatelock/wire/TakeIn.java
@@ -114,9 +114,7 @@
         Integer route = way != null ? (Integer) way.classNo() : path.startsWith("/")
             ? names.routes.get(path.substring(1, slash < 0 ? path.length() : slash)) : null;
         wrong = wrong != 0 ? wrong : formOf(exchange, route, length);
-        boolean opens = wrong == 0 && upgrade != null && way != null && way.sessions() != null
-            && upgrade.asked(exchange);
-        wrong = opens ? upgrade.refusal(exchange) : wrong;
+        wrong = wrong == 0 && opensSession(exchange, way) ? upgrade.refusal(exchange) : wrong;
         if (wrong != 0) {
             refuse(exchange, wrong);
         } else if (length == 0 || exchange.isRequestComplete()) {
@@ -236,6 +234,10 @@
         }
     }
 
+    private boolean opensSession(HttpServerExchange exchange, Admission.Way way) {
+        return upgrade != null && way != null && way.sessions() != null && upgrade.asked(exchange);
+    }
+
     /** The host that a req names, without a port, or null. */
     private static String host(HttpServerExchange exchange) {
         String host = exchange.getRequestHeaders().getFirst(Headers.HOST);
@@ -259,7 +261,7 @@
         HttpCaller caller = new HttpCaller(exchange);
         OpenReq req = new OpenReq(id, head(exchange, body.length), body, endUs, caller);
         caller.req = req;
-        if (upgrade != null && way != null && way.sessions() != null && upgrade.asked(exchange)) {
+        if (opensSession(exchange, way)) {
             caller.takesOver = upgrade.opens(exchange, req, way.sessions(), route);
         }
         int org = tenant == null ? names.tenants.size() : tenant;
