A fleet's votes by turn at the desk's rate, and each voice by an exact interval

"ON build 531 stage 0: 0 outcomes", "ON build 531 stage 1: 3 outcomes": 100 relays with 2.8 reqs a second each never have the 20 outcomes of a verdict, wait 1 s for them all the same, and then up to 5.7 s for their turn, chosen by chance (ReleaseGate.weigh and cast). A fleet in simulated time, now in the tests, shows the same and more: at 120 relays 110 of 390 calls turned away, as relays voted before the stage's machines were listed and took that back (clockFromUs), and took back their votes after each release; and from 14 relays on builds that fail 10% or need three times the work are released. Ruled out: the platform's clock (a stage of 4.25 s at 14 relays), lost votes (4% were refused on split).

Change: turns go by the relay's own number, moved on with each stage, and use what the desk takes at once; back has no turn; renewals of all relays together stay under the desk's rate; machines not listed yet are waited for; nothing is taken back once the stage has moved. Beside the bootstrapped interval each relay of more than 8 asks an exact one, at the level at which as many voices as send a build back are not wrong together (departures 17 to 19 in docs/design.md).

Where the settings price a new connection, two of up to eight looked at to which one stands are chosen from, and opening one counts as the wait that costs as much; not on trial. In the simulated fleet that halves them with no more reqs late, up to 85% load.

--- a/src/main/java/gatelock/bench/Terms.java
+++ b/src/main/java/gatelock/bench/Terms.java
@@ -63,11 +63,12 @@
             t.real("familyInfo.free", 0), (int) t.whole("familyInfo.toAbort", 1),
             t.real("familyInfo.apiRate", 1), t.whole("familyInfo.tallyNs", 0) > 0);
         long warmNs = t.whole("safety.warmWithinNs", 0);
-        return new Charter(seed, (int) t.whole("replicasOfMe", 1), routes, tenants,
+        return new Charter(seed, (int) t.whole("replicasOfMe", 1), (int) t.whole("me", -1), routes, tenants,
             t.real("overShareWorth", 1), (int) t.whole("limits.tryLimit", 1), t.yes("limits.mayCancel"),
             t.yes("limits.retryAfter"), t.us("limits.maxRetryAfterNs"),
             "on_request".equals(t.pairs.get("discovery")), t.real("safety.coldFrom", 1),
-            (warmNs + 999) / 1000, t.real("safety.overloadFactor", 1), t.us("safety.fallNs"), rollout);
+            (warmNs + 999) / 1000, t.real("safety.overloadFactor", 1), t.us("safety.fallNs"),
+            t.real("costs.handshake", 0), t.us("limits.connIdleNs") * 3 / 4, rollout);
     }
 
     /** One time, in microseconds; 0 where it is absent. */
--- a/src/main/java/gatelock/boot/Chain.java
+++ b/src/main/java/gatelock/boot/Chain.java
@@ -55,7 +55,7 @@
         this.counters = counters;
         open = new OpenReqs(counters);
         // An idle connection is closed well before the unit would, so that no req crosses its end.
-        units = new Lines(turn, counters, told.openWithinUs(), told.idleUs() * 3 / 4, 2_000, told.sockets()
+        units = new Lines(turn, counters, told.openWithinUs(), told.charter().keptUs(), 2_000, told.sockets()
             * 2 / 5);
         RelayBack relayBack = new RelayBack(turn, open, counters);
         Book book = new Book(turn, open, counters, relayBack);
--- a/src/main/java/gatelock/boot/Configuration.java
+++ b/src/main/java/gatelock/boot/Configuration.java
@@ -18,7 +18,7 @@
 /** What a relay is told when it starts, read from one JSON file. */
 record Configuration(String name, InetSocketAddress listen, InetSocketAddress discovery,
     InetSocketAddress desk,
-                     int sockets, Json known, Json news, Charter charter, long openWithinUs, long idleUs,
+                     int sockets, Json known, Json news, Charter charter, long openWithinUs,
                      List<Long> deadlinesUs, Map<String, String> settings) {
 
     /** Reads it whole; whatever is missing or odd is told in one line. */
@@ -34,8 +34,7 @@
     /** This one with the addresses of another, the only things that change while a relay runs. */
     Configuration movedTo(Configuration to) {
         return new Configuration(name, listen, to.discovery, to.desk, sockets, known, news, charter,
-            openWithinUs,
-            idleUs, deadlinesUs, settings);
+            openWithinUs, deadlinesUs, settings);
     }
 
     /** Whether another one says the same but for addresses, what is listed and told, and the seed. */
@@ -60,7 +59,7 @@
         return new Configuration(all.text("name"), all.address("listen"), all.address("discovery"),
             deployer.address("address"), all.object("limits").count("sockets"), all.object("known"),
             deployer.object("news"), charter, Terms.us(settings, "limits.dialTimeoutNs"),
-            Terms.us(settings, "limits.connIdleNs"), deadlinesUs, settings);
+            deadlinesUs, settings);
     }
 
     /** What a version is checked against. */
--- a/src/main/java/gatelock/decision/Bootstrap.java
+++ b/src/main/java/gatelock/decision/Bootstrap.java
@@ -53,6 +53,29 @@
         return 0;
     }
 
+    /** The probability of at least so many cases, each as likely and by itself. */
+    static double tail(int among, int cases, double each) {
+        double term = Math.pow(1 - each, among);
+        double below = 0;
+        for (int i = 0; i < cases; i++) {
+            below += term;
+            term *= (among - i) / (i + 1.0) * each / (1 - each);
+        }
+        return 1 - below;
+    }
+
+    /**
+     * The logarithm of how often one of some may be wrong by chance, so that as many as are asked for are
+     * wrong together no more often than given.
+     */
+    static double logLevel(double together, int some, int askedFor) {
+        double logP = Math.log(together);
+        for (int i = 0; i < Math.min(askedFor, some); i++) {
+            logP -= Math.log((some - i) / (i + 1.0));
+        }
+        return logP / askedFor;
+    }
+
     /** How many standard deviations leave a probability, given by its logarithm, at one end of a normal. */
     static double normalWidth(double logProbability) {
         double t = Math.sqrt(-2 * Math.min(-1, logProbability));
--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -33,22 +33,19 @@
     private static final double ERROR_BAR = 0.02;
     /** Page: latency counts from units older than this, or than the time in which they are surely warm. */
     private static final long WARM_UP_US = 3 * SECOND;
-    /** A close call holds so long past the least time; the page's 3 s if few units fail or counts decide. */
-    private static final long PATIENCE_US = SECOND;
-    private static final long LONG_PATIENCE_US = 3 * SECOND;
+    private static final long PATIENCE_US = SECOND; // a close call holds so long past the least time
+    private static final long LONG_PATIENCE_US = 3 * SECOND; // page, if few units fail or counts decide
     private static final long HOLD_LEAD_US = SECOND; // where a clock moves stages: a hold, before time is up
     private static final double COUNTS_MARGIN = 2; // where the desk's counts decide, as like load is unknown
-    /** The interval: draws, and the share left out at either end (95%). */
-    private static final int DRAWS = 200;
+    private static final int DRAWS = 200; // of the interval, with this share left out at either end (95%)
     private static final double TAIL = 0.025;
     private static final double TAIL_WIDTH = 1.96;
+    private static final double DOUBT = 0.3; // rarer by chance than this: one voice of many holds
     private static final double FALSE_BACKS = 0.05; // share of looks in which relays go wrong together
-    /** Slices weighed of the trial and of the earlier build: few enough to notice a late change. */
-    private static final int TRIAL_SLICES = 8;
+    private static final int TRIAL_SLICES = 8; // few enough to notice a late change
     private static final int EARLIER_SLICES = 20;
     private static final int FEWEST_SLICES = 3; // for a confident fail: two can't show a spread
-    /** A confident fail must last this long before it votes back: one look in many fails by chance. */
-    private static final long CONFIRM_ERRORS_US = 3 * SECOND / 2;
+    private static final long CONFIRM_ERRORS_US = 3 * SECOND / 2; // one look in many fails by chance
     private static final long CONFIRM_SLOW_US = 3 * SECOND;
     private static final int LOAD_STEPS = 24; // like load: steps of one req in flight
     private static final double PRIOR = 4; // few outcomes are drawn to what all show, which weighs as so many
@@ -56,12 +53,14 @@
     private static final double SICK_PART = 0.25;
     private static final double SLOW_PART = 0.5;
     private static final long WATCH_US = 12 * SECOND; // how long a released build is watched
-    /** A stage's clock runs this long after its machines are up, or after its start at the latest. */
-    private static final long CLOCK_LAG_US = SECOND;
+    private static final long CLOCK_LAG_US = SECOND; // a stage's clock after its machines, or its start
     private static final long CLOCK_LATEST_US = 8 * SECOND;
     /** Votes: renewed after this share of their life; the wait after one that was turned away. */
     private static final double RENEW_AT = 0.6;
     private static final long REVOTE_US = 400_000;
+    private static final double AT_ONCE = 1.5; // times its rate, of the 2 that the desk takes at once
+    private static final double DESK_PART = 0.9; // of the desk's rate, what renewals of all relays may use
+    private static final double TURN_STEP = 0.382; // of all relays, how far turns move on with each stage
     private static final int VOICES_LOGGED = 2; // of all relays, so many log a vote that is not back
 
     /** Measures of a unit fade over this time, and longer the less of the reqs one relay of many sees. */
@@ -74,8 +73,7 @@
     private static final double OBJECTIVE_SHARE = 0.4;
     private static final double INFLIGHT_FLOOR = 2;
     private static final double FLEET_FLOOR = 6;
-    /** So many times more at most, while answers take less than this share of the objective. */
-    private static final double QUICK_TIMES = 3;
+    private static final double QUICK_TIMES = 3; // at most, while answers take less of the objective than
     private static final double QUICK_SHARE = 0.55;
     private static final double ROOM_FOR_LEAST = 0.5; // of that room, what the least valuable reqs may use
     /** Work of one place that a trial unit may be sent; of a cold one's rule, by what it surely can do. */
@@ -95,6 +93,8 @@
     /** A route is odd if it needs so many times what another does; its part of the room if it is late too. */
     private static final double ODD_TIMES = 2.5;
     private static final double HOPELESS_PART = 0.15;
+    /** Where a new connection has a price, units looked at for two to which one stands: a look has none. */
+    private static final int LOOKS = 8;
     /** Connections are few if more than this share of connects fail; one stands if used this long ago. */
     private static final double REFUSED_SHARE = 0.05;
     private static final long OPEN_US = SECOND / 4;
@@ -148,6 +148,7 @@
     private Phase phase = Phase.WITHDRAWN;
     private double cap;
     private long stageFromUs;
+    private long bootUs; // from a stage's start until its machines were listed, as last seen
     private final Set<Integer> withdrawn = new HashSet<>();
 
     // This relay's vote.
@@ -158,9 +159,10 @@
     private long failedUs;
     private long weighedUs;
     private String ground = "";
-    private final double stretch;
+    private final double logLevel;
+    private final double stretch; // how much wider an interval must be, as any of many voices may be wrong
     private final double topValue;
-    private final long myTurnUs;
+    private final int number;
     private long verdictUs;
     private Verdict verdict = Verdict.NONE;
 
@@ -175,9 +177,10 @@
         this.routeSlow = new Fading[charter.routes().size()];
         Arrays.setAll(routeSlow, i -> new Fading(WORK_MEMORY_US));
         this.topValue = charter.routes().stream().mapToDouble(Route::value).max().orElse(1);
-        this.stretch = stretch(charter.relays(), Math.max(1, charter.rollout().backVotes()));
-        double spreadS = charter.relays() / Math.max(0.1, charter.rollout().votesPerS()) - 1;
-        this.myTurnUs = (long) (chance.nextDouble() * Math.max(0, spreadS) * SECOND);
+        this.logLevel = Bootstrap.logLevel(FALSE_BACKS, charter.relays(),
+            Math.max(1, charter.rollout().backVotes()));
+        this.stretch = Math.max(1, Bootstrap.normalWidth(logLevel) / TAIL_WIDTH);
+        this.number = charter.number() >= 0 ? charter.number() : chance.nextInt(charter.relays());
         Arrays.setAll(cost, i -> new Fading(20.0 * SECOND));
         Arrays.setAll(tenantRate, i -> new Fading(RATE_MEMORY_US));
     }
@@ -267,6 +270,7 @@
                 }
                 u = new Unit(l, builds.computeIfAbsent(l.build(), Build::new));
                 units.put(l.unit(), u);
+                bootUs = l.build() == newest && l.startUs() >= stageFromUs ? nowUs - stageFromUs : bootUs;
             }
             u.health = l.health();
         }
@@ -295,7 +299,7 @@
             return;
         }
         boolean moved = build != newest || stage != this.stage || phase != this.phase;
-        if (build != newest || stage != this.stage && stands != Verdict.BACK) {
+        if (build != newest || moved && stands != Verdict.BACK) {
             stands = Verdict.NONE;
         }
         newest = build;
@@ -607,9 +611,10 @@
                         && (!someBad || tryBad || !u.looksBad())) {
                     boolean open = few && u.connected();
                     boolean better = best == null || (few && open != best.connected() ? open
-                        : u.expectedWait() < best.expectedWait());
+                        : u.expectedWait(rq) < best.expectedWait(rq));
                     best = better ? u : best;
-                    found += open || !few ? 1 : 0;
+                    boolean stands = charter.openingPrice() == 0 || onTrial() || u.lineStands();
+                    found += (few ? open : stands || i >= LOOKS - 1) ? 1 : 0;
                 }
             }
             return best;
@@ -637,6 +642,9 @@
         private long lastAnswerUs = Long.MIN_VALUE / 2;
         private double waiting;
         private long waitingAtUs = Long.MIN_VALUE / 2;
+        /** Connections that stand without a req, and when the last of them was left so. */
+        private int idle;
+        private long idleAtUs = Long.MIN_VALUE / 2;
 
         Unit(Listed l, Build build) {
             this.at = l;
@@ -647,11 +655,16 @@
             ahead.add(nowUs, out.size());
             build.ahead.add(nowUs, out.size());
             out.add(t);
+            idle = lineStands() ? idle - 1 : 0;
             budget -= t.rq.costUs * Math.max(1, build.slowness.mean(nowUs, 0) / usualSlowness(at.kind()));
         }
 
         private void ended(Rq.Try t, Ending ending, long tookUs, Load load) {
             out.remove(t);
+            if (ending == Ending.COMPLETED || ending == Ending.ERRORED || ending == Ending.TURNED_AWAY) {
+                idle = (lineStands() ? idle : 0) + 1;
+                idleAtUs = nowUs;
+            }
             if (ending == Ending.NOT_SENT || ending == Ending.CANCELLED && !t.cancelled) {
                 return;
             }
@@ -773,9 +786,20 @@
             return budget > 0;
         }
 
-        private double expectedWait() {
+        /**
+         * In announced work. Where a new connection has a price, it counts as the wait that costs as much: a
+         * req is worth nothing after its objective. Not on trial: outcomes are wanted from all its units.
+         */
+        private double expectedWait(Rq rq) {
             double queue = nowUs - waitingAtUs < SECOND ? waiting : 0;
-            return slowness.drawn(nowUs, usualSlowness(at.kind()), 1) * (out.size() + 1 + queue);
+            double opening = lineStands() || build.onTrial() ? 0
+                : charter.openingPrice() * rq.route.objectiveUs() / rq.costUs;
+            return slowness.drawn(nowUs, usualSlowness(at.kind()), 1) * (out.size() + 1 + queue) + opening;
+        }
+
+        /** Whether a connection to it surely stands without a req. */
+        private boolean lineStands() {
+            return idle > 0 && nowUs - idleAtUs < charter.keptUs();
         }
     }
 
@@ -844,9 +868,8 @@
         return taken.sum(nowUs) / (1 - Math.exp((startUs - nowUs - 1) / WORK_MEMORY_US));
     }
 
-    /** Announced work of a req, on average of late. */
     private double meanCost() {
-        return cost[cost.length - 1].mean(nowUs, SECOND / 5.0);
+        return cost[cost.length - 1].mean(nowUs, SECOND / 5.0); // announced work of a req, of late
     }
 
     // ---- The vote -----------------------------------------------------------------------------------------
@@ -864,11 +887,12 @@
         long sinceUs = Math.min(BEAT_US, nowUs - weighedUs);
         failedUs = finding == Finding.PASS ? 0 : Math.max(0, failedUs + (fails ? sinceUs : -sinceUs));
         weighedUs = nowUs;
-        long confirmUs = finding == Finding.ERRORS ? CONFIRM_ERRORS_US : CONFIRM_SLOW_US;
+        boolean many = charter.relays() > FEW_RELAYS;
+        long confirmUs = finding == Finding.ERRORS || many ? CONFIRM_ERRORS_US : CONFIRM_SLOW_US;
         boolean sure = fails && failedUs >= confirmUs;
         if (phase == Phase.RELEASED) {
             // Released: the earlier build's machines leave, so nothing shows like load; only errors count.
-            boolean bad = sure && finding == Finding.ERRORS && nowUs - stageFromUs < WATCH_US;
+            boolean bad = sure && (finding == Finding.ERRORS || many) && nowUs - stageFromUs < WATCH_US;
             cast(bad ? Verdict.BACK : Verdict.NONE);
             return;
         }
@@ -880,7 +904,10 @@
             verdict = nowUs < least ? Verdict.NONE : Verdict.ON;
         } else {
             boolean late = few(trial) && charter.rollout().counts();
-            long waitUs = finding == Finding.SUSPECT || late ? LONG_PATIENCE_US : PATIENCE_US;
+            // Where half the outcomes are missing, a little more time brings no verdict either.
+            int seen = Slice.seen(trial.own.from(weighedFrom()));
+            long shortUs = finding == Finding.NO_VERDICT && seen < FEWEST / 2 ? 0 : PATIENCE_US;
+            long waitUs = finding == Finding.SUSPECT || late ? LONG_PATIENCE_US : shortUs;
             verdict = nowUs < least + waitUs ? Verdict.HOLD : Verdict.ON;
         }
         boolean clock = charter.rollout().gatekeeping() == Gatekeeping.CLOCK;
@@ -896,21 +923,44 @@
             .filter(b -> !withdrawn.contains(b.number) && !b.own.isEmpty()).findFirst().orElse(null);
     }
 
-    /** When the stage's clock began to run, as far as can be told: its machines up, and a little. */
+    /**
+     * When the stage's clock began to run, as far as can be told: its machines up, and a little. Those not
+     * listed yet are waited for as long as the last took: some stages bring none.
+     */
     private long clockFromUs(Build trial) {
         long startUs = trial.ready.stream().mapToLong(u -> u.at.startUs()).max().orElse(0);
         long latestUs = stageFromUs + CLOCK_LATEST_US;
-        long upUs = Math.min(latestUs, Math.max(stageFromUs, startUs));
+        long upUs = Math.min(latestUs, startUs >= stageFromUs ? startUs : stageFromUs + bootUs);
         return trial.ready.isEmpty() ? latestUs : upUs + CLOCK_LAG_US;
     }
 
+    /**
+     * Guards against a fleet whose voices together are more than the desk takes, of any size: each waits for
+     * its place in a row that every relay knows, and that moves on with each stage. Could harm where those
+     * first in the row are cut off from the desk: the rest speak later than they could.
+     */
+    private long turnUs() {
+        double perS = Math.max(0.1, charter.rollout().votesPerS());
+        int step = (int) Math.max(1, TURN_STEP * charter.relays());
+        int place = (int) Math.floorMod(number + (newest + (long) stage) * step, (long) charter.relays());
+        return (long) (Math.max(0, place - AT_ONCE * perS) / perS * SECOND);
+    }
+
+    /** Votes of all relays are renewed no faster than the desk takes them; back is by its voices alone. */
+    private long renewUs(Verdict verdict) {
+        double allUs = charter.relays() * SECOND / (DESK_PART * Math.max(0.1, charter.rollout().votesPerS()));
+        double soonUs = charter.rollout().voteLifeUs() * RENEW_AT;
+        return (long) (verdict == Verdict.BACK ? soonUs : Math.max(soonUs, allUs));
+    }
+
     private void cast(Verdict verdict) {
-        boolean lapsing = nowUs - castUs > charter.rollout().voteLifeUs() * RENEW_AT;
+        boolean lapsing = nowUs - castUs > renewUs(verdict);
         boolean waiting = answerDue && nowUs - castUs < charter.rollout().voteWaitUs();
         verdictUs = verdict == this.verdict ? verdictUs : nowUs;
         this.verdict = verdict;
         boolean said = verdict == stands && (verdict == Verdict.NONE || !lapsing);
-        if (said || waiting || nowUs < Math.max(voteNotBeforeUs, verdictUs + myTurnUs)) {
+        if (said || waiting || nowUs < voteNotBeforeUs
+                || verdict != Verdict.BACK && nowUs < verdictUs + turnUs()) {
             return;
         }
         boolean logged = verdict != stands && chance.nextInt(charter.relays()) < VOICES_LOGGED;
@@ -951,15 +1001,6 @@
         return compare(trial, trial.counts, earlier.counts, last, COUNTS_MARGIN, MARGIN, 1);
     }
 
-    /** How much wider an interval must be, as any of many voices may be wrong. */
-    private static double stretch(int relays, int voices) {
-        double logP = Math.log(FALSE_BACKS);
-        for (int i = 0; i < Math.min(voices, relays); i++) {
-            logP -= Math.log((relays - i) / (i + 1.0));
-        }
-        return Math.max(1, Bootstrap.normalWidth(logP / voices) / TAIL_WIDTH);
-    }
-
     /** Intervals of the trial's errors and percentile against the bars, and what else lies behind a fail. */
     private Finding compare(Build trial, Ledger its, Ledger earlier, List<Slice> theirs, double margin,
                             double fleet, double stretch) {
@@ -967,6 +1008,14 @@
         Finding found = compare(mine, theirs, margin, stretch, FEWEST);
         boolean slow = found == Finding.SLOW;
         boolean fails = slow || found == Finding.ERRORS;
+        String said = ground;
+        if (!fails && its == trial.own && charter.relays() > FEW_RELAYS) {
+            Finding asOne = oneOfMany(mine, theirs, earlier.from(weighedFrom()));
+            if (asOne != Finding.NO_VERDICT) {
+                return asOne;
+            }
+            ground = said;
+        }
         if (fails && its == trial.own) {
             // Guards against sick, slow or ill-placed units taken for a bad build: without its worst units
             // the build must fail all the same. Errors of its oldest units count alone: builds may turn bad
@@ -992,7 +1041,7 @@
         List<Slice> all = new ArrayList<>(mine);
         all.addAll(earlier.from(weighedFrom()));
         List<Object> units = Slice.worst(all, Outcome::slowness);
-        String said = ground;
+        said = ground;
         List<Slice> best = Slice.without(all, units.subList(0, (int) (units.size() * SLOW_PART)));
         boolean allSlow = compare(best, earlier.before(), fleet, stretch, FEWEST) == Finding.SLOW;
         ground = allSlow ? ground : said;
@@ -1005,7 +1054,7 @@
         if (seen < fewest) {
             return Finding.NO_VERDICT;
         }
-        int[] once = IntStream.range(0, theirs.size()).map(i -> 1).toArray();
+        int[] once = once(theirs);
         // What strikes both builds is not held against one; sick units of the earlier build are no excuse.
         List<Object> sick = Slice.worst(theirs, Outcome::error);
         boolean known = !theirs.isEmpty() && sick.get(0) instanceof Unit
@@ -1036,6 +1085,42 @@
         return errors[1] < errorBar && slow[1] < bar ? Finding.PASS : Finding.CLOSE;
     }
 
+    /**
+     * Guards against bad builds, of any kind, of which each relay of many sees too little: the lower end is
+     * also that of an exact interval, at the level at which as many voices as send a build back are not wrong
+     * together. Units are counted. Could harm where a trouble strikes mostly units on trial.
+     */
+    private Finding oneOfMany(List<Slice> mine, List<Slice> theirs, List<Slice> lately) {
+        double errorBar = Math.max(ERROR_BAR, MARGIN * Math.max(Slice.errors(theirs), Slice.errors(lately)));
+        Finding errors = past(Slice.seen(mine), Slice.outcomes(mine).filter(Outcome::failed), errorBar,
+            Finding.ERRORS);
+        LikeLoad like = new LikeLoad(theirs, LOAD_STEPS, FEWEST / 2);
+        double[][] there = like.against(theirs, 0);
+        if (errors == Finding.ERRORS || there.length == 0) {
+            return errors;
+        }
+        double bar = MARGIN * Bootstrap.percentile(there, once(theirs), PERCENTILE);
+        long warmUs = Math.max(WARM_UP_US, charter.warmWithinUs());
+        List<Outcome> warm = Slice.outcomes(mine).filter(o -> !o.failed() && o.ageUs() > warmUs
+            && !Double.isNaN(like.usual(o))).toList();
+        Finding slow = past(warm.size(), warm.stream().filter(o -> o.slowness() / like.usual(o) > bar),
+            1 - PERCENTILE, Finding.SLOW);
+        return slow == Finding.NO_VERDICT ? errors : slow;
+    }
+
+    private static int[] once(List<Slice> slices) {
+        return IntStream.range(0, slices.size()).map(i -> 1).toArray();
+    }
+
+    /** What it means that so many units are past a bar: as given if it is rarer than one voice may err. */
+    private Finding past(int seen, Stream<Outcome> past, double share, Finding fail) {
+        int units = (int) past.map(Outcome::unit).distinct().count();
+        double chance = Bootstrap.tail(seen, units, share);
+        ground = seen + " outcomes, " + units + " units past the bar of " + String.format("%.3f", share);
+        Finding doubt = chance < DOUBT ? Finding.SUSPECT : Finding.NO_VERDICT;
+        return units > 1 && chance < Math.exp(logLevel) ? fail : doubt;
+    }
+
     private double[] interval(List<Slice> slices, double stretch, ToDoubleFunction<int[]> figure) {
         double[] found = Bootstrap.interval(slices.size(), DRAWS, TAIL, chance, figure);
         return new double[] {found[1] - (found[1] - found[0]) * stretch, found[2]};
--- a/src/main/java/gatelock/decision/Slice.java
+++ b/src/main/java/gatelock/decision/Slice.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.ToDoubleFunction;
+import java.util.stream.Stream;
 
 /** The outcomes of one span of time, and what can be asked of some. */
 record Slice(long number, List<Outcome> outcomes) {
@@ -14,6 +15,15 @@
         return slices.stream().mapToInt(s -> s.outcomes.size()).sum();
     }
 
+    static Stream<Outcome> outcomes(List<Slice> slices) {
+        return slices.stream().flatMap(s -> s.outcomes.stream());
+    }
+
+    /** The share of outcomes that failed. */
+    static double errors(List<Slice> slices) {
+        return outcomes(slices).filter(Outcome::failed).count() / (double) Math.max(1, seen(slices));
+    }
+
     static List<Slice> without(List<Slice> slices, List<Object> units) {
         return units.isEmpty() ? slices : slices.stream().map(s -> new Slice(s.number,
             s.outcomes.stream().filter(o -> !units.contains(o.unit())).toList())).toList();
--- a/src/main/java/gatelock/relay/Charter.java
+++ b/src/main/java/gatelock/relay/Charter.java
@@ -2,11 +2,16 @@
 
 import java.util.List;
 
-/** What a relay is told of its deployment when it starts. */
-public record Charter(long seed, int relays, List<Route> routes, List<Tenant> tenants,
+/**
+ * What a relay is told of its deployment when it starts; {@code number}: its own among all, -1: not told;
+ * {@code openingPrice}: of a new connection to a unit, as a share of a req's worth; {@code keptUs}: how long
+ * one is kept without a req.
+ */
+public record Charter(long seed, int relays, int number, List<Route> routes, List<Tenant> tenants,
                       double overShareValue, int tryLimit, boolean mayCancel, boolean pausesHeard,
                       long longestPauseUs, boolean mustAskForList, double coldFrom, long warmWithinUs,
-                      double coldMultiple, long coldWindowUs, Rollout rollout) {
+                      double coldMultiple, long coldWindowUs, double openingPrice, long keptUs,
+                      Rollout rollout) {
 
     /** A tenant and the reqs a second, over all relays, within its share. */
     public record Tenant(double quotaPerS) {
--- a/src/test/java/gatelock/LongDayTest.java
+++ b/src/test/java/gatelock/LongDayTest.java
@@ -33,8 +33,8 @@
     void theDecisionsForgetWhatLeft() throws Exception {
         Rollout rollout = new Rollout(Rollout.Gatekeeping.COUNT, 1_000_000, 6_000_000, 2_000_000, new double[] {0.2, 1}, 0,
             false, true, 2, 1, 10, false);
-        Gate gate = new ReleaseGate(new Charter(7, 1, List.of(new Route(Route.Repeat.RETRIABLE, Route.Group.ALL, 0, 250_000, 1)),
-            List.of(), 1, 3, true, true, 1_000_000, false, 0.5, 3_000_000, 2.5, 1_000_000, rollout), new Noting());
+        Gate gate = new ReleaseGate(new Charter(7, 1, 0, List.of(new Route(Route.Repeat.RETRIABLE, Route.Group.ALL, 0, 250_000, 1)),
+            List.of(), 1, 3, true, true, 1_000_000, false, 0.5, 3_000_000, 2.5, 1_000_000, 0, 0, rollout), new Noting());
         long nowUs = 1_000_000;
         gate.start(nowUs);
         for (int build = 1; build <= 200; build++) {
--- a/src/test/java/gatelock/ScenariosTest.java
+++ b/src/test/java/gatelock/ScenariosTest.java
@@ -229,10 +229,12 @@
                     .toUpperCase()), us(terms.getOrDefault("least", "1s")), 6_000_000, 1_200_000, caps,
                     (int) num(terms, "guarded", 0), terms.containsKey("per-route"), terms.containsKey("one-way"),
                     num(terms, "free", 2),
-                    (int) num(terms, "back-votes", 1), 50, terms.containsKey("counts"));
-                gate = new ReleaseGate(new Charter(7, (int) num(terms, "relays", 1), routes, List.of(), 1,
+                    (int) num(terms, "back-votes", 1), num(terms, "votes-per-s", 50), terms.containsKey("counts"));
+                gate = new ReleaseGate(new Charter(7, (int) num(terms, "relays", 1),
+                    (int) num(terms, "number", 0), routes, List.of(), 1,
                     (int) num(terms, "tries", 4), true, true, 1_000_000, terms.containsKey("must-ask"), 0.34,
-                    us(terms.getOrDefault("warm", "2s")), 2.5, 1_000_000, rollout), this);
+                    us(terms.getOrDefault("warm", "2s")), 2.5, 1_000_000,
+                    num(terms, "opening", 0), us(terms.getOrDefault("kept", "20s")), rollout), this);
                 gate.start(nowUs);
             }
             return gate;
--- /dev/null
+++ b/src/test/java/gatelock/fleet/FleetTest.java
@@ -0,0 +1,115 @@
+package gatelock.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import gatelock.relay.Gate;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import java.util.List;
+
+/** What holds for many relays together, whatever one of them does alone. */
+final class FleetTest {
+    private static final long S = Fleet.S;
+
+    private static Fleet.Terms of(int relays, long seed) {
+        Fleet.Terms terms = new Fleet.Terms();
+        terms.relays = relays;
+        terms.units = Math.max(10, Math.min(60, relays * 4));
+        terms.reqsPerS = terms.units * 4.7;
+        terms.seed = seed;
+        return terms;
+    }
+
+    private static Fleet offered(Fleet.Terms terms) {
+        Fleet fleet = new Fleet(terms);
+        fleet.run(10 * S);
+        fleet.desk.offer();
+        return fleet;
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 3, 14, 50, 120})
+    void enoughVoicesStandForGoodBuildAndNoneIsTurnedAway(int relays) {
+        Fleet fleet = offered(of(relays, 1));
+        fleet.run(21 * S);
+        assertThat(fleet.desk.phase()).isEqualTo(Gate.Phase.RELEASED);
+        assertThat(fleet.desk.stageUs).allMatch(us -> us <= 7 * S);
+        assertThat(fleet.desk.turnedAway).isZero();
+        assertThat(fleet.records.calls.size()).isLessThanOrEqualTo(4 * relays);
+        assertThat(fleet.broken()).isEmpty();
+    }
+
+    @ParameterizedTest
+    @CsvSource({"1, 0.1, 1", "3, 0.1, 1", "14, 0.2, 1", "50, 0.2, 1", "120, 0.2, 1", "14, 0.3, 1", "50, 0.3, 1",
+        "120, 0.3, 1", "50, 0, 3", "120, 0, 3"})
+    void badBuildGoesBackThoughEachRelaySeesLittleOfIt(int relays, double fails, double work) {
+        Fleet.Terms terms = of(relays, 1);
+        terms.newFails = fails;
+        terms.newWork = work;
+        Fleet fleet = offered(terms);
+        fleet.run(25 * S);
+        assertThat(fleet.desk.phase()).isEqualTo(Gate.Phase.REVERTING);
+        assertThat(fleet.desk.stageUs.size()).as("stages passed").isLessThan(terms.shares.length);
+        assertThat(fleet.broken()).isEmpty();
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4})
+    void goodBuildDoesNotGoBackWhileUnitsPause(long seed) {
+        Fleet.Terms terms = of(100, seed);
+        Fleet fleet = offered(terms);
+        for (int i = 0; i < 5; i++) {
+            fleet.run(5 * S);
+            fleet.pauseSome(0.3, 500 * Fleet.MS, 2 * S);
+        }
+        assertThat(fleet.desk.phase()).isEqualTo(Gate.Phase.RELEASED);
+    }
+
+    @Test
+    void herdOfRestartsLeavesColdUnitsUnderTheirBound() {
+        Fleet.Terms terms = of(100, 5);
+        Fleet fleet = new Fleet(terms);
+        fleet.run(10 * S);
+        fleet.relays().stream().limit(70).forEach(r -> r.kill(S));
+        fleet.run(S / 2);
+        fleet.launch(1, 6);
+        fleet.run(8 * S);
+        assertThat(fleet.broken()).isEmpty();
+    }
+
+    @Test
+    void burstIsServed() {
+        Fleet fleet = new Fleet(of(100, 6));
+        fleet.run(15 * S);
+        fleet.load(1.4);
+        fleet.run(5 * S);
+        assertThat(fleet.records.inTime(fleet.nowUs() - 5 * S, fleet.nowUs() - 2 * S)).isGreaterThan(0.95);
+    }
+
+    @Test
+    void connectionsThatStandAreUsedWhereNewOnesHaveTheirPrice() {
+        Fleet.Terms free = of(100, 7);
+        free.openingPrice = 0;
+        Fleet without = new Fleet(free);
+        without.run(40 * S);
+        Fleet with = new Fleet(of(100, 7));
+        with.run(40 * S);
+        assertThat(with.records.opened).isLessThan(without.records.opened / 2);
+        assertThat(with.records.inTime(0, with.nowUs() - 5 * S))
+            .isGreaterThan(without.records.inTime(0, without.nowUs() - 5 * S) - 0.005);
+    }
+
+    @Test
+    void oneSeedIsOneCourseOfEvents() {
+        List<Records> two = List.of(new Fleet(of(50, 8)), new Fleet(of(50, 8))).stream().map(f -> {
+            f.run(8 * S);
+            return f.records;
+        }).toList();
+        assertThat(two.get(0).sent).isEqualTo(two.get(1).sent);
+        assertThat(two.get(0).answers).isEqualTo(two.get(1).answers);
+    }
+}
