Lists of 1,024 units are read; a stage's turns count from its least time for all relays

Cause, by a test over sockets: discovery's answers were read up to the 64 KiB of a req's body (Lines platform in Chain), about 340 entries; a fleet of 150 units whose next build stands beside it while the last one leaves lists 450. Such a list was never taken in, and the relay stayed with what it had. Now up to 2 MiB, held by need. A list that names a unit twice or a start a minute ahead is turned down like any other that can't be read, and the same cause is said once, not at each of ten calls a second.

Turns were counted from when a relay's own verdict changed, so a relay that had waited in doubt for 3 s waited for its place once more, up to 5 s.

--- a/src/main/java/gatelock/boot/Chain.java
+++ b/src/main/java/gatelock/boot/Chain.java
@@ -74,7 +74,7 @@
 
     /** Begins from what the configuration holds, and follows discovery and the desk from there. */
     void start() throws IOException {
-        Lines platform = new Lines(turn, counters, 1_000_000, 4_000_000, 0, 8);
+        Lines platform = new Lines(turn, counters, 1_000_000, 4_000_000, 0, 8, Discovery.MOST_LIST);
         desk = new Desk(turn, counters, platform, told.desk(), told.charter().rollout().voteWaitUs());
         discovery = new Discovery(turn, counters, platform, told.discovery(), addresses, units,
             told.plain("zones"), told.plain("flavors"), told.charter().mustAskForList(),
--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -163,6 +163,7 @@
     private final double stretch; // how much wider an interval must be, as any of many voices may be wrong
     private final double topValue;
     private final int number;
+    private long leastUs; // when the stage's least time has passed: from then on all relays' turns count
     private long verdictUs;
     private Verdict verdict = Verdict.NONE;
 
@@ -897,6 +898,7 @@
             return;
         }
         long least = clockFromUs(trial) + charter.rollout().leastUs();
+        leastUs = least;
         Verdict verdict;
         if (fails) {
             verdict = sure ? Verdict.BACK : Verdict.HOLD;
@@ -960,7 +962,7 @@
         this.verdict = verdict;
         boolean said = verdict == stands && (verdict == Verdict.NONE || !lapsing);
         if (said || waiting || nowUs < voteNotBeforeUs
-                || verdict != Verdict.BACK && nowUs < verdictUs + turnUs()) {
+                || verdict != Verdict.BACK && nowUs < turnUs() + (verdict == Verdict.ON ? leastUs : verdictUs)) {
             return;
         }
         boolean logged = verdict != stands && chance.nextInt(charter.relays()) < VOICES_LOGGED;
--- a/src/main/java/gatelock/wire/Discovery.java
+++ b/src/main/java/gatelock/wire/Discovery.java
@@ -15,8 +15,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 
@@ -28,6 +30,10 @@
     private static final long GRACE_US = 1_000_000;
     private static final long RETRY_US = 100_000;
     private static final int MOST_LABELS = 32;
+    /** Of a list's answer: 1,024 units and twice as many that leave, with names and labels of usual length. */
+    public static final int MOST_LIST = 2 * 1024 * 1024;
+    /** How far a unit's start may lie ahead of this relay's clock. */
+    private static final long AHEAD_US = 60_000_000;
     private static final Map<String, Listed.Health> HEALTH = Map.of("in_service", Listed.Health.READY,
         "terminating", Listed.Health.DRAINING, "terminated", Listed.Health.GONE);
 
@@ -47,6 +53,8 @@
     private XnioExecutor.Key again;
     private long index = -1;
     private boolean following;
+    /** Why the last answer was not taken in; null: it was. The same again is not said again. */
+    private String unread;
 
     /**
      * @param units connections to units, closed where a unit leaves or returns as another
@@ -120,6 +128,7 @@
             Json list = Json.read(answer.body());
             List<Entry> entries = entries(list);
             boolean whole = list.yes("snapshot");
+            unread = null;
             index = list.whole("index");
             // The next watch goes out at once, on the same connection: changes in between count as told.
             InetSocketAddress from = address;
@@ -133,7 +142,10 @@
             }
             return true;
         } catch (IOException e) {
-            LOG.log(Level.WARNING, "discovery: " + e.getMessage());
+            if (!e.getMessage().equals(unread)) {
+                LOG.log(Level.WARNING, "discovery, what was listed stays: " + e.getMessage());
+                unread = e.getMessage();
+            }
             failed();
             return false;
         }
@@ -180,15 +192,23 @@
 
     private List<Entry> entries(Json list) throws IOException {
         List<Entry> entries = new ArrayList<>();
+        Set<String> names = new HashSet<>();
         for (Json e : list.objects("endpoints")) {
             String unit = e.text("name");
             Listed.Health health = HEALTH.get(e.text("status"));
             if (health == null) {
                 throw new IOException("expected a known status for " + unit);
             }
+            if (!names.add(unit)) {
+                throw new IOException("expected each unit once, found twice " + unit);
+            }
+            long startUs = e.wholeOr("since_ms", 0) * 1000;
+            if (startUs > turn.nowUs() + AHEAD_US) {
+                throw new IOException("expected a start that has been for " + unit);
+            }
             entries.add(new Entry(e.address("address"), new Listed(unit, e.count("image_id"),
                 number(zones, e, "zone"), number(kinds, e, "type"), (int) e.wholeOr("group", 0), health,
-                e.wholeOr("since_ms", 0) * 1000), labels(e)));
+                startUs), labels(e)));
         }
         return entries;
     }
--- a/src/test/java/gatelock/RelayTest.java
+++ b/src/test/java/gatelock/RelayTest.java
@@ -311,6 +311,62 @@
         assertThat(all.unit.calls).isEmpty();
     }
 
+    @Test
+    void aListOfAThousandUnitsIsReadWholeOrInPiecesAndAsOneChange() throws Exception {
+        all.start();
+        String name = "unit-of-a-long-name-in-a-far-away-place-0123456789-0123456789-";
+        String entry = "{\"name\":\"%s\",\"address\":\"%s\",\"zone\":\"z\",\"type\":\"m\",\"group\":3,"
+            + "\"status\":\"%s\",\"weight\":1.0,\"since_ms\":0,\"image_id\":1}";
+        List<String> rest = new ArrayList<>();
+        for (int i = 0; i < 1023; i++) {
+            rest.add(String.format(entry, name + i, "127.0.0.1:1", "terminating"));
+        }
+        String text = "{\"index\":%d,\"snapshot\":%s,\"endpoints\":[" + String.join(",", rest) + ",%s]}";
+        String there = String.format(entry, "a", all.other.address(), "in_service");
+        String body = String.format(text, 5, true, there);
+        assertThat(body.length()).isGreaterThan(2 * 64 * 1024);
+        StandIns.Came asked = all.discovery.next();
+        StandIns.write(asked.socket(), "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n");
+        for (int at = 0; at < body.length(); at += 9_000) {
+            StandIns.write(asked.socket(), body.substring(at, Math.min(body.length(), at + 9_000)));
+        }
+        StandIns.Came watch = all.discovery.next();
+        assertThat(watch.head()).startsWith("GET /api/targets?from=5&");
+        passes("whole", all.other);
+        // all of them as one change
+        watch.answer("200 OK", "", String.format(text, 6, false, String.format(entry, "a", all.unit.address(),
+            "in_service")));
+        assertThat(all.discovery.next().head()).startsWith("GET /api/targets?from=6&");
+        passes("changed", all.unit);
+        assertThat(all.log()).doesNotContain("unexpected").doesNotContain("discovery, ");
+    }
+
+    private void passes(String id, StandIns.Party to) throws Exception {
+        try (Socket client = all.connect()) {
+            ask(client, "GET /read", id, "", "");
+            to.next().answer("200 OK", "", "there");
+            assertThat(read(client).body()).isEqualTo("there");
+        }
+    }
+
+    @Test
+    void aListThatIsBadInOneEntryIsSaidOnceAndChangesNothing() throws Exception {
+        all.start();
+        String entry = "{\"name\":\"%s\",\"address\":\"" + all.other.address()
+            + "\",\"status\":\"in_service\",\"since_ms\":%s,\"image_id\":1}";
+        String text = "{\"index\":5,\"snapshot\":true,\"endpoints\":[%s,%s]}";
+        for (String odd : new String[] {String.format(entry, "x", "0"), String.format(entry, "y", "-5"),
+            String.format(entry, "y", "9999999999999"), String.format(entry, "y", "0").replace("\"image_id\":1",
+                "\"image_id\":\"one\"")}) {
+            for (int i = 0; i < 3; i++) {
+                all.discovery.next().answer("200 OK", "", String.format(text, String.format(entry, "x", "0"), odd));
+            }
+        }
+        all.discovery.next();
+        assertThat(all.log().split("discovery, what was listed stays", -1)).hasSize(5);
+        passes("still", all.unit);
+    }
+
     @Test
     void newsComeOnAConnectionThatIsOpenedAgainWhenItEnds() throws Exception {
         all.start();
--- a/src/test/java/gatelock/fleet/FleetTest.java
+++ b/src/test/java/gatelock/fleet/FleetTest.java
@@ -69,6 +69,21 @@
         assertThat(fleet.desk.phase()).isEqualTo(Gate.Phase.RELEASED);
     }
 
+    @Test
+    void rollingRestartsDoNotHoldGoodBuildUp() {
+        Fleet fleet = new Fleet(of(100, 9));
+        fleet.run(10 * S);
+        fleet.pauseSome(0.3, 500 * Fleet.MS, 2 * S);
+        fleet.desk.offer();
+        for (int i = 0; i < 100; i += 10) {
+            fleet.relays().subList(i, i + 10).forEach(r -> r.kill(S));
+            fleet.run(8 * S / 5);
+        }
+        fleet.run(7 * S);
+        assertThat(fleet.desk.phase()).isEqualTo(Gate.Phase.RELEASED);
+        assertThat(fleet.desk.stageUs).allMatch(us -> us <= 9 * S);
+    }
+
     @Test
     void herdOfRestartsLeavesColdUnitsUnderTheirBound() {
         Fleet.Terms terms = of(100, 5);
