--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo test lint run measure-plan measure-swarm measure-sessions
+.PHONY: build demo test lint run measure-plan measure-swarm measure-sessions measure-fleet
 
 build:
 	mvn -B -q -DskipTests package
@@ -33,3 +33,8 @@
 measure-sessions:
 	mvn -B -q -DskipTests package dependency:build-classpath -Dmdep.outputFile=target/test.classpath
 	java -cp "target/classes:target/test-classes:$$(cat target/test.classpath)" gatelock.standin.SessionMeasure
+
+# How often a simulated fleet releases bad builds and sends good ones back; the table of docs/measurements/fleet.md.
+measure-fleet:
+	mvn -B -q -DskipTests package dependency:build-classpath -Dmdep.outputFile=target/test.classpath
+	java -cp "target/classes:target/test-classes:$$(cat target/test.classpath)" gatelock.fleet.Rates 20
--- a/src/test/java/gatelock/fleet/Fleet.java
+++ b/src/test/java/gatelock/fleet/Fleet.java
@@ -22,8 +22,8 @@
 import java.util.SplittableRandom;
 
 /**
- * A fleet in simulated time: the real module of every relay, and a plain world of units, clients, a list that comes late
- * and a release desk that takes so many calls a second. One seed gives one course of events, to the last one.
+ * A fleet in simulated time: the real module of every relay, and a plain world of units, clients, a list that
+ * comes late and a release desk that takes so many calls a second. One seed gives one course of events.
  */
 final class Fleet {
     static final long MS = 1_000;
@@ -56,7 +56,7 @@
         /** Of the build on offer: share of errors, and times the work that it needs. */
         double newFails;
         double newWork = 1;
-        /** It is bad only on units older than this, and only while more than this share of their places is busy. */
+        /** It is bad only on units older than this, and while more than this share of their places is busy. */
         long badFromUs;
         double badFromBusy;
 
@@ -187,8 +187,8 @@
     }
 
     private void drain(int build) {
-        List<Unit> those = units.values().stream().filter(u -> u.build == build && u.health == Listed.Health.READY)
-            .toList();
+        List<Unit> those = units.values().stream()
+            .filter(u -> u.build == build && u.health == Listed.Health.READY).toList();
         those.forEach(u -> u.health = Listed.Health.DRAINING);
         tell(those);
     }
@@ -312,11 +312,11 @@
         }
 
         private void start() {
-            Rollout rollout = new Rollout(Rollout.Gatekeeping.COUNT, terms.bakeUs, 6 * S, 2 * S, desk.caps(), 0, false,
-                false, terms.free, terms.voices(terms.backShare), terms.callsPerS, false);
-            Charter charter = new Charter(terms.seed * 1000 + number * 31L + life, terms.relays, number, routes, List.of(),
-                1, 5, true, true, 2 * S, false, terms.coldFrom, terms.warmUs, terms.coldMultiple, terms.windowUs,
-                terms.openingPrice, 20 * S, rollout);
+            Rollout rollout = new Rollout(Rollout.Gatekeeping.COUNT, terms.bakeUs, 6 * S, 2 * S, desk.caps(),
+                0, false, false, terms.free, terms.voices(terms.backShare), terms.callsPerS, false);
+            Charter charter = new Charter(terms.seed * 1000 + number * 31L + life, terms.relays, number,
+                routes, List.of(), 1, 5, true, true, 2 * S, false, terms.coldFrom, terms.warmUs, terms.coldMultiple,
+                terms.windowUs, terms.openingPrice, 20 * S, rollout);
             gate = new ReleaseGate(charter, this);
             up = true;
             gate.start(nowUs);
@@ -339,7 +339,8 @@
             Open req = new Open(nowUs + waitsUs[route]);
             open.put(id, req);
             records.taken.add(new Records.Taken(id, number, routes.get(route), nowUs, req.endUs));
-            req.handle = gate.take(nowUs, id, route, 0, chance.nextLong(5000), waitsUs[route], (long) terms.workUs);
+            req.handle = gate.take(nowUs, id, route, 0, chance.nextLong(5000), waitsUs[route],
+                (long) terms.workUs);
             settle(id, req);
         }
 
--- a/src/test/java/gatelock/fleet/Rates.java
+++ b/src/test/java/gatelock/fleet/Rates.java
@@ -2,58 +2,82 @@
 
 import gatelock.relay.Gate;
 
+import java.util.List;
 import java.util.stream.IntStream;
 
 /** How often bad builds are released and good ones sent back, over many seeds; a table, no test. */
 final class Rates {
+    private static final long S = Fleet.S;
+
+    /** A build on offer, and what happens beside it. */
+    private record Case(String name, double fails, double work, long badFromUs, double badFromBusy,
+                        boolean pauses, boolean burst) {
+        Case(String name, double fails, double work) {
+            this(name, fails, work, 0, 0, false, false);
+        }
+    }
+
+    private static final List<Case> CASES = List.of(
+        new Case("good", 0, 1), new Case("good, 15% slower", 0, 1.15),
+        new Case("good, units pause", 0, 1, 0, 0, true, false),
+        new Case("good, a burst", 0, 1, 0, 0, false, true),
+        new Case("errors 5%", 0.05, 1), new Case("errors 10%", 0.1, 1), new Case("errors 30%", 0.3, 1),
+        new Case("work x1.7", 0, 1.7), new Case("work x2", 0, 2), new Case("work x3", 0, 3),
+        new Case("work x2.5 from 6 s on", 0, 2.5, 6 * S, 0, false, false),
+        new Case("errors 10% from 6 s on", 0.1, 1, 6 * S, 0, false, false),
+        new Case("work x2.5 when busy", 0, 2.5, 0, 0.4, false, false));
+
     private Rates() {
     }
 
+    /** The first word is how many seeds, any further ones are sizes of fleets. */
     public static void main(String[] args) {
         int seeds = Integer.parseInt(args[0]);
-        int[] fleets = args.length > 1 ? new int[] {Integer.parseInt(args[1])} : new int[] {14, 50, 100};
-        for (int relays : fleets) {
-            for (String kind : new String[] {"good", "good 15% slower", "good, units pause", "good, burst", "errors 5%", "errors 10%", "errors 30%",
-                "slow x1.7", "slow x2", "slow x3", "late slow x2.5", "late errors 10%", "busy slow x2.5"}) {
-                int back = 0;
-                int backLater = 0;
-                int on = 0;
-                long us = 0;
-                for (Fleet f : IntStream.rangeClosed(1, seeds).parallel().mapToObj(s -> play(relays, s, kind)).toList()) {
-                    boolean released = f.desk.stageUs.size() == f.terms.shares.length;
-                    boolean gone = f.desk.phase() == Gate.Phase.REVERTING;
-                    back += gone && !released ? 1 : 0;
-                    backLater += gone && released ? 1 : 0;
-                    on += released && !gone ? 1 : 0;
-                    us += f.desk.stageUs.stream().mapToLong(Long::longValue).sum() / Math.max(1, f.desk.stageUs.size());
-                }
-                System.out.printf("%4d relays %-18s back %3d, after release %3d, stays released %3d; a stage %.2f s%n",
-                    relays, kind, back, backLater, on, us / 1e6 / seeds);
+        int[] sizes = args.length == 1 ? new int[] {14, 50, 100}
+            : IntStream.range(1, args.length).map(i -> Integer.parseInt(args[i])).toArray();
+        System.out.println("| relays | build | back before release | back after | stays | a stage, s |");
+        for (int relays : sizes) {
+            for (Case c : CASES) {
+                List<Fleet> played = IntStream.rangeClosed(1, seeds).parallel()
+                    .mapToObj(seed -> play(relays, seed, c)).toList();
+                long gone = played.stream().filter(Rates::isBack).count();
+                long late = played.stream().filter(f -> isBack(f) && wasReleased(f)).count();
+                long stays = played.stream().filter(f -> !isBack(f) && wasReleased(f)).count();
+                double us = played.stream().flatMap(f -> f.desk.stageUs.stream()).mapToLong(x -> x).average()
+                    .orElse(0);
+                System.out.printf("| %d | %s | %d | %d | %d | %.2f |%n", relays, c.name, gone - late, late,
+                    stays, us / S);
             }
         }
     }
 
-    private static Fleet play(int relays, long seed, String kind) {
+    private static boolean isBack(Fleet f) {
+        return f.desk.phase() == Gate.Phase.REVERTING;
+    }
+
+    private static boolean wasReleased(Fleet f) {
+        return f.desk.stageUs.size() == f.terms.shares.length;
+    }
+
+    private static Fleet play(int relays, long seed, Case c) {
         Fleet.Terms t = new Fleet.Terms();
         t.relays = relays;
-        t.units = 60;
         t.seed = seed;
-        t.newFails = kind.contains("errors 5") ? 0.05 : kind.contains("errors 10") ? 0.1 : kind.contains("errors 3") ? 0.3 : 0;
-        t.newWork = kind.contains("x1.7") ? 1.7 : kind.contains("x2.5") ? 2.5 : kind.contains("x2") ? 2 : kind.contains("x3") ? 3
-            : kind.contains("15%") ? 1.15 : 1;
-        t.badFromUs = kind.contains("late") ? 6 * Fleet.S : 0;
-        t.badFromBusy = kind.contains("busy") ? 0.4 : 0;
+        t.newFails = c.fails;
+        t.newWork = c.work;
+        t.badFromUs = c.badFromUs;
+        t.badFromBusy = c.badFromBusy;
         t.reqsPerS = 340;
         Fleet f = new Fleet(t);
-        f.run(10 * Fleet.S);
+        f.run(10 * S);
         f.desk.offer();
         for (int i = 0; i < 6; i++) {
-            f.run(5 * Fleet.S);
-            if (kind.contains("pause")) {
-                f.pauseSome(0.15, 600 * Fleet.MS, 2 * Fleet.S);
+            f.run(5 * S);
+            if (c.pauses) {
+                f.pauseSome(0.15, 600 * Fleet.MS, 2 * S);
             }
-            if (kind.contains("burst")) {
-                f.load(i == 1 ? 1.5 : i == 3 ? 0.67 : 1);
+            if (c.burst) {
+                f.load(i == 1 ? 1.5 : i == 3 ? 1 / 1.5 : 1);
             }
         }
         return f;
--- a/src/test/java/gatelock/fleet/Records.java
+++ b/src/test/java/gatelock/fleet/Records.java
@@ -8,8 +8,8 @@
 import java.util.Map;
 
 /**
- * What units, clients, the list and the desk saw, and the five rules checked from that alone: nothing here asks a relay
- * what it meant.
+ * What units, clients, the list and the desk saw, and the five rules checked from that alone: nothing here
+ * asks a relay what it meant.
  */
 final class Records {
     record Taken(String id, int relay, Route route, long atUs, long endUs) {
@@ -108,14 +108,15 @@
                 }
                 double able = terms.able(its.get(i).atUs - start.atUs) * start.cores * terms.windowUs;
                 if (workUs > terms.coldMultiple * able + 4 * terms.workUs) {
-                    found.add("rule 4: " + start.unit + " was sent " + Math.round(workUs / able) + " times its capacity");
+                    found.add("rule 4: " + start.unit + " was sent " + Math.round(workUs / able)
+                        + " times its capacity");
                     break;
                 }
             }
         }
     }
 
-    /** In every window, tries at the build on trial stay within free + cap x reqs taken, two and 4% above it pass. */
+    /** In every window, tries at the trial stay within free + cap x reqs taken; two and 4% above it pass. */
     private void exposure(List<String> found, Fleet.Terms terms) {
         for (int relay = 0; relay < terms.relays; relay++) {
             int of = relay;
@@ -131,7 +132,7 @@
                     long tries = there.stream().filter(s -> s.atUs >= from.atUs && s.atUs < endUs).count();
                     long reqs = in.stream().filter(t -> t.atUs >= from.atUs && t.atUs < endUs).count();
                     if (tries > terms.free + 2 + cap.cap * 1.04 * reqs) {
-                        found.add("rule 5: relay " + relay + " sent " + tries + " tries for " + reqs + " reqs");
+                        found.add("rule 5: relay " + relay + " sent " + tries + " for " + reqs + " reqs");
                         break;
                     }
                 }
--- /dev/null
+++ b/src/test/java/gatelock/fleet/RecordsTest.java
@@ -0,0 +1,72 @@
+package gatelock.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import gatelock.relay.Route;
+
+import org.junit.jupiter.api.Test;
+
+/** The checker names each rule that is broken, and nothing where none is. */
+final class RecordsTest {
+    private static final long S = Fleet.S;
+    private static final Route ONCE = new Route(Route.Repeat.NON_RETRIABLE, Route.Group.ALL, S, S, 1);
+    private final Fleet.Terms terms = new Fleet.Terms();
+    private final Records records = new Records();
+
+    private void served(String id, long atUs) {
+        records.taken.add(new Records.Taken(id, 0, ONCE, atUs, atUs + 5 * S));
+        records.sent.add(new Records.Sent(id, 0, "u", 1, terms.workUs, atUs));
+        records.ran.add(new Records.Ran(id, "u", atUs));
+        records.answers.add(new Records.Answer(id, atUs + S, true));
+    }
+
+    @Test
+    void nothingIsNamedWhereAllIsWell() {
+        served("a", S);
+        served("b", 2 * S);
+        assertThat(records.broken(terms)).isEmpty();
+    }
+
+    @Test
+    void reqWithoutAnAnswerOrWithTwoOrALateOne() {
+        served("a", S);
+        served("b", S);
+        served("c", S);
+        records.answers.remove(0);
+        records.answers.add(new Records.Answer("b", 3 * S, false));
+        records.answers.set(1, new Records.Answer("c", 7 * S, true));
+        assertThat(records.broken(terms)).hasSize(3).allMatch(b -> b.startsWith("rule 1"));
+    }
+
+    @Test
+    void effectTwice() {
+        served("a", S);
+        records.ran.add(new Records.Ran("a", "v", 2 * S));
+        assertThat(records.broken(terms)).singleElement().asString().startsWith("rule 2: a ran 2");
+    }
+
+    @Test
+    void sendToAUnitThatLeft() {
+        served("a", 3 * S);
+        records.leaves.add(new Records.Told(0, "u", S));
+        assertThat(records.broken(terms)).singleElement().asString().startsWith("rule 3: a went to u");
+    }
+
+    @Test
+    void coldUnitUnderTheSumOfAll() {
+        records.starts.add(new Records.Start("u", terms.slots, S));
+        for (int i = 0; i < 20; i++) {
+            served("a" + i, S + i);
+        }
+        assertThat(records.broken(terms)).singleElement().asString().startsWith("rule 4: u");
+    }
+
+    @Test
+    void moreTriesAtTheTrialThanTheCap() {
+        records.caps.add(new Records.Cap(0, 1, 0.1, 0));
+        for (int i = 0; i < 6; i++) {
+            served("a" + i, S + i);
+        }
+        assertThat(records.broken(terms)).singleElement().asString().startsWith("rule 5: relay 0 sent 6");
+    }
+}
--- a/src/test/java/gatelock/fleet/package-info.java
+++ b/src/test/java/gatelock/fleet/package-info.java
@@ -1,2 +1,2 @@
-/** Many relays' decisions on one virtual clock, against a plain world; what it is judged by are the records alone. */
+/** Many relays' decisions on one virtual clock, against a plain world; judged by its records alone. */
 package gatelock.fleet;
