Failed connects cost what a req earns; silent units make no route hopeless

Cause 1: again() took a whole retry token for a failed connect unless more than a twentieth of all connects failed, and a fifth of one then, while a req earns a tenth. It costs that tenth now. Cause 2: ended() counted a try that timed out at a unit silent to all as time that its route needs; non-retriable tries can't be called off, wait out their 17 s and make their route look hopeless, which gives it 15% of the room. Such a try counts only if the unit answered another one meanwhile.

--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -100,7 +100,7 @@
     private static final long OPEN_US = SECOND / 4;
 
     private static final double RETRY_SHARE = 0.1;
-    private static final double RECONNECT = 0.2; // cost of a try after a failed connect: no unit has worked
+    private static final double RECONNECT = RETRY_SHARE; // no unit has worked: each req may go on once
     private static final double RETRY_BURST = 5;
     private static final long SHED_PAUSE_US = 500_000;
     private static final long ASK_AGAIN_US = 300_000;
@@ -454,8 +454,7 @@
         private void again() {
             boolean may = nowUs < endUs && (neverRan() || route.repeat() != Route.Repeat.NON_RETRIABLE);
             Ending last = tries.get(tries.size() - 1).ending;
-            boolean refused = last == Ending.NOT_CONNECTED;
-            double price = refused && connectionsAreFew() ? RECONNECT : 1;
+            double price = last == Ending.NOT_CONNECTED ? RECONNECT : 1;
             if (may && retryTokens >= price && tries.size() < Math.min(charter.tryLimit(), bounds.mostTries())
                     && bounds.goesOn(nowUs, last)) {
                 retryTokens -= price;
@@ -705,7 +704,9 @@
             if (ending != Ending.COMPLETED) {
                 heard.add(nowUs, noError ? 0 : 1);
             }
-            if (!build.onTrial() && stoodUs != nowUs && (unheard || ending == Ending.COMPLETED)) {
+            // A unit that is silent to all says nothing of one route: its tries would make that look hopeless.
+            boolean spoke = ending == Ending.COMPLETED || unheard && lastAnswerUs > t.sentUs;
+            if (!build.onTrial() && stoodUs != nowUs && spoke) {
                 routeSlow[t.rq.routeNo].add(nowUs, (double) tookUs / t.rq.costUs);
             }
             if (!Double.isNaN(load.waiting())) {
--- a/src/test/java/gatelock/ScenariosTest.java
+++ b/src/test/java/gatelock/ScenariosTest.java
@@ -101,6 +101,7 @@
                 }
                 case "counted" -> gate().counted(nowUs, (int) num(named, "build", 2), 0, (int) num(named, "count", 20),
                     (int) num(named, "failed", 0), us(named.getOrDefault("mean", "100ms")), 0);
+                case "silent-time-out" -> timeOut();
                 case "complaint" -> gate().complaint(nowUs, w[1], 0, us(named.getOrDefault("ago", "0s")));
                 case "forget" -> {
                     sends.clear();
@@ -118,6 +119,7 @@
                     .extracting(Sent::unit).asString().startsWith(w.length > 3 ? w[3] : "");
                 case "tries" -> assertThat(sends.stream().filter(s -> s.id.equals(w[2])).count()).as(where)
                     .isEqualTo(Long.parseLong(w[3]));
+                case "answered" -> within(answers.values().stream().filter(w[2]::equals).count(), named, where);
                 case "shed", "error" -> assertThat(answers.get(w[2])).as(where).isEqualTo(w[1]);
                 case "open" -> assertThat(answers.get(w[2])).as(where).isNull();
                 case "vote" -> assertThat(votes).as(where).contains(Verdict.valueOf(w[2].toUpperCase()));
@@ -200,6 +202,16 @@
             reqs.get(id).ended(nowUs, s.tryNo, ending, nowUs - s.atUs, over, Load.NONE);
         }
 
+        /** What silent units still hold has waited for nothing. */
+        private void timeOut() {
+            for (Sent s : List.copyOf(sends)) {
+                if (manners.getOrDefault(s.unit, Map.of()).containsKey("silent") && !answers.containsKey(s.id)
+                        && lastSend(s.id) == s) {
+                    reqs.get(s.id).ended(nowUs, s.tryNo, Ending.TIMED_OUT, nowUs - s.atUs, false, Load.NONE);
+                }
+            }
+        }
+
         private Sent lastSend(String id) {
             return sends.stream().filter(s -> s.id.equals(id)).reduce((a, b) -> b).orElse(null);
         }
--- a/src/test/java/gatelock/fleet/Fleet.java
+++ b/src/test/java/gatelock/fleet/Fleet.java
@@ -56,7 +56,7 @@
         /** Of the build on offer: share of errors, and times the work that it needs. */
         double newFails;
         double newWork = 1;
-        /** It is bad only on units older than this, and while more than this share of their places is busy. */
+        /** It is bad only on units older than this, with more than this share of their places busy. */
         long badFromUs;
         double badFromBusy;
 
--- a/src/test/java/gatelock/fleet/FleetTest.java
+++ b/src/test/java/gatelock/fleet/FleetTest.java
@@ -45,7 +45,7 @@
 
     @ParameterizedTest
     @CsvSource({"1, 0.1, 1", "3, 0.1, 1", "14, 0.2, 1", "50, 0.2, 1", "120, 0.2, 1", "14, 0.3, 1",
-        "50, 0.3, 1",         "120, 0.3, 1", "50, 0, 3", "120, 0, 3"})
+        "50, 0.3, 1", "120, 0.3, 1", "50, 0, 3", "120, 0, 3"})
     void badBuildGoesBackThoughEachRelaySeesLittleOfIt(int relays, double fails, double work) {
         Fleet.Terms terms = of(relays, 1);
         terms.newFails = fails;
