The list is asked for before the rehearsal, and no req goes out before it is known

Ruled out in the same logs: failed calls (none), SIGHUP (the whole list from the new address comes at once), relays that leave (their watch goes on to the end).

Change: the real chain is put together and follows discovery and the desk from the start; reqs are held until discovery was heard of, 0.3 s at the most. Held is a class of its own now, for both ways to start.

--- a/src/main/java/gatelock/boot/Chain.java
+++ b/src/main/java/gatelock/boot/Chain.java
@@ -89,6 +89,19 @@
         }
     }
 
+    /** Does this once the list has been heard of from discovery, or after that time with what is known. */
+    void whenListed(long withinUs, Runnable then) {
+        boolean[] done = new boolean[1];
+        Runnable once = () -> {
+            if (!done[0]) {
+                done[0] = true;
+                then.run();
+            }
+        };
+        discovery.whenHeard(once);
+        turn.in(withinUs, once);
+    }
+
     /** Sessions whose turn has come leave. */
     private void look() {
         sessions.due(turn.nowUs());
--- a/src/main/java/gatelock/boot/Rehearsal.java
+++ b/src/main/java/gatelock/boot/Rehearsal.java
@@ -8,12 +8,10 @@
 import gatelock.wire.Front;
 import gatelock.wire.Line;
 import gatelock.wire.Lines;
-import gatelock.wire.TakeIn;
 import gatelock.wire.Turn;
 
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.util.SameThreadExecutor;
 
 import org.xnio.IoUtils;
 
@@ -43,19 +41,23 @@
     private final InetSocketAddress at;
     private final Turn turn;
     private final Front front;
+    private final Held held;
     private final Consumer<Rehearsal> then;
     private final Counters counters = new Counters();
     private final Chain chain;
     private final Lines clients;
     private final String mark;
-    /** Clients' reqs that came meanwhile; there are no more than connections. */
-    private final List<HttpServerExchange> held = new ArrayList<>();
     private int asked;
     private int running;
     private boolean over;
 
-    /** @param at where this relay listens */
-    Rehearsal(Configuration told, InetSocketAddress at, Turn turn, Front front, Consumer<Rehearsal> then) {
+    /**
+     * @param at where this relay listens
+     * @param held takes the reqs that are not the rehearsal's own
+     */
+    Rehearsal(Configuration told, InetSocketAddress at, Turn turn, Front front, Held held,
+              Consumer<Rehearsal> then) {
+        this.held = held;
         this.told = told;
         this.at = at;
         this.turn = turn;
@@ -106,17 +108,15 @@
     /**
      * The same req comes twice: first from a client, then as to a unit, while the first is still open.
      *
-     * <p>Guards against clients that come before this relay is ready: after a restart those of its earlier life
-     * do, and their reqs must not be rehearsed with, as nobody but this relay would answer them. They are held
-     * until the real chain stands, and the rehearsal comes to its end at once. Should hold whenever they come;
-     * could harm where thousands come in that instant, as the code is less warm for them.
+     * <p>Guards against clients that come before this relay is ready: their reqs must not be rehearsed with,
+     * as nobody but this relay would answer them. They are held, and the rehearsal ends at once. Should hold
+     * whenever they come; could harm where thousands come then, as the code is less warm for them.
      */
     private void handle(HttpServerExchange exchange) throws Exception {
         String id = exchange.getRequestHeaders().getFirst("X-Trace-Id");
         if (!mine(id)) {
             over = true;
-            exchange.putAttachment(TakeIn.CAME_US, turn.nowUs());
-            exchange.dispatch(SameThreadExecutor.INSTANCE, () -> held.add(exchange));
+            held.handleRequest(exchange);
         } else if (chain.open.get(id) == null) {
             chain.takeIn.handleRequest(exchange);
         } else {
@@ -173,7 +173,5 @@
         clients.stop();
         chain.units.stop();
         then.accept(this);
-        LOG.log(held.isEmpty() ? Level.DEBUG : Level.INFO, () -> "held until ready: " + held.size() + " reqs");
-        held.forEach(front::again);
     }
 }
--- a/src/main/java/gatelock/boot/Service.java
+++ b/src/main/java/gatelock/boot/Service.java
@@ -33,6 +33,11 @@
     private static final long ON_TOP_US = 700_000;
     private static final long SESSIONS_CLOSE_US = 1_400_000;
     private static final long SESSIONS_LOOK_US = 20_000;
+    /**
+     * Guards against a list from before a restart: reqs sent by it go to units that have left long since.
+     * Discovery has so long to be heard of; could harm where it is down, as each start is later by this.
+     */
+    private static final long LIST_WITHIN_US = 300_000;
     private static final long COUNTERS_EVERY_US = 60_000_000;
     private static final long STACK_BYTES = 256 * 1024;
 
@@ -40,6 +45,7 @@
     private final Start how;
     private final Turn turn;
     private final Counters counters = new Counters();
+    private final Held held;
     private final Path operatorsFile;
     private final Operator operator;
     private Configuration told;
@@ -59,6 +65,7 @@
         this.told = told;
         this.how = how;
         this.turn = turn;
+        this.held = new Held(turn);
     }
 
     /** @param operator what the operator's own file says, or null: all that it could name is off */
@@ -137,18 +144,24 @@
             switch (how) {
                 case COLD -> {
                     front.listen(told.listen());
-                    serve(real -> real);
+                    front.admit(held, false);
+                    prepare();
+                    chain.whenListed(LIST_WITHIN_US, () -> serve(real -> real));
                 }
                 case REHEARSED -> {
                     InetSocketAddress at = front.listen(told.listen());
-                    new Rehearsal(told, at, turn, front, rehearsal -> serve(rehearsal::before)).begin();
+                    // The list and the news are asked for at once, and known when the rehearsal ends.
+                    prepare();
+                    new Rehearsal(told, at, turn, front, held, rehearsal -> {
+                        front.admit(rehearsal.before(held), false);
+                        chain.whenListed(LIST_WITHIN_US, () -> serve(rehearsal::before));
+                    }).begin();
                 }
                 case REHEARSAL_ONLY -> {
                     InetSocketAddress free = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
                     InetSocketAddress at = front.listen(free);
-                    new Rehearsal(told, at, turn, front, rehearsal -> new Thread(() -> System.exit(0))
-                        .start())
-                        .begin();
+                    new Rehearsal(told, at, turn, front, held, rehearsal -> new Thread(() -> System.exit(0))
+                        .start()).begin();
                 }
             }
         } catch (IOException e) {
@@ -156,30 +169,33 @@
         }
     }
 
+    /** Puts the real chain together and begins to follow discovery and the desk. */
+    private void prepare() throws IOException {
+        steering = operator == null || operator.control() == null ? null
+            : new Steering(operator, told, turn, counters);
+        Operator.Sessions asked = operator == null || steering == null ? null : operator.sessions();
+        int mostSessions = asked == null ? 0 : asked.most() > 0 ? Math.min(asked.most(), told.sockets() / 5)
+            : told.sockets() / 10;
+        sessions = asked == null ? null : new Sessions(mostSessions, asked.opensPerUnit(), asked.drainUs(),
+            new SplittableRandom(told.charter().seed() + 3));
+        chain = new Chain(told, turn, counters, front, steering == null ? null : steering.admission,
+            sessions);
+        chain.start();
+    }
+
     private void serve(UnaryOperator<HttpHandler> before) {
+        HttpHandler takeIn = before.apply(chain.takeIn);
+        front.admit(takeIn, steering == null);
+        held.goOn(front);
         try {
-            steering = operator == null || operator.control() == null ? null
-                : new Steering(operator, told, turn, counters);
-            Operator.Sessions asked = operator == null || steering == null ? null : operator.sessions();
-            int mostSessions = asked == null ? 0 : asked.most() > 0 ? Math.min(asked.most(),
-                told.sockets() / 5)
-                : told.sockets() / 10;
-            sessions = asked == null ? null : new Sessions(mostSessions, asked.opensPerUnit(),
-                asked.drainUs(),
-                new SplittableRandom(told.charter().seed() + 3));
-            chain = new Chain(told, turn, counters, front, steering == null ? null : steering.admission,
-                sessions);
-            chain.start();
-            HttpHandler takeIn = before.apply(chain.takeIn);
-            front.admit(takeIn, steering == null);
             if (steering != null) {
                 steering.start(() -> front.admit(takeIn, true));
             }
-            LOG.log(Level.INFO, told.name() + " serves on " + told.listen());
-            turn.in(COUNTERS_EVERY_US, this::tellCounters);
         } catch (IOException e) {
             give(e);
         }
+        LOG.log(Level.INFO, told.name() + " serves on " + told.listen());
+        turn.in(COUNTERS_EVERY_US, this::tellCounters);
     }
 
     private void give(IOException e) {
--- a/src/main/java/gatelock/wire/Discovery.java
+++ b/src/main/java/gatelock/wire/Discovery.java
@@ -30,7 +30,7 @@
     private static final long GRACE_US = 1_000_000;
     private static final long RETRY_US = 100_000;
     private static final int MOST_LABELS = 32;
-    /** Of a list's answer: 1,024 units and twice as many that leave, with names and labels of usual length. */
+    /** Of a list's answer: 1,024 units and twice as many that leave, with names of usual length. */
     public static final int MOST_LIST = 2 * 1024 * 1024;
     /** How far a unit's start may lie ahead of this relay's clock. */
     private static final long AHEAD_US = 60_000_000;
@@ -53,6 +53,8 @@
     private XnioExecutor.Key again;
     private long index = -1;
     private boolean following;
+    private boolean heard;
+    private Runnable whenHeard = () -> { };
     /** Why the last answer was not taken in; null: it was. The same again is not said again. */
     private String unread;
 
@@ -86,6 +88,22 @@
         }
     }
 
+    /** Does this once the first call for the list has come to its end, whatever that is. */
+    public void whenHeard(Runnable then) {
+        if (heard) {
+            then.run();
+        } else {
+            whenHeard = then;
+        }
+    }
+
+    private void heard() {
+        if (!heard) {
+            heard = true;
+            turn.soon(whenHeard);
+        }
+    }
+
     void follow() {
         if (!following) {
             following = true;
@@ -140,6 +158,7 @@
             if (whole || !entries.isEmpty()) {
                 listed(whole ? Gate.ListForm.FULL : Gate.ListForm.DELTA, entries, whole);
             }
+            heard();
             return true;
         } catch (IOException e) {
             if (!e.getMessage().equals(unread)) {
@@ -153,6 +172,7 @@
 
     private void failed() {
         counters.add("discovery failed");
+        heard();
         if (onRequest) {
             following = false;
             gate.listed(turn.nowUs(), Gate.ListForm.FAILED, List.of());
--- a/src/test/java/gatelock/RelayTest.java
+++ b/src/test/java/gatelock/RelayTest.java
@@ -532,6 +532,7 @@
         Files.writeString(all.config, Files.readString(all.config).replace("\"pushed\"", "\"on_request\""));
         all.process = all.program(all.config.toString(), "serve");
         assertThat(all.discovery.next().head()).startsWith("GET /api/targets HTTP/1.1");
+        all.awaitLog("serves on");
         // A try of the rehearsal that is read only now goes to no unit.
         try (Socket client = all.connect()) {
             ask(client, "GET /read", "rehearsal-1f2e3d4c5b6a7988-7", "", "");
