--- a/src/test/java/gatelock/RelayTest.java
+++ b/src/test/java/gatelock/RelayTest.java
@@ -559,6 +559,30 @@
         assertThat(all.log()).doesNotContain("unexpected");
     }
 
+    @Test
+    void aReqThatComesBeforeTheListGoesWhereTheListSays() throws Exception {
+        all.process = all.program(all.config.toString(), "serve", "cold");
+        try (Socket client = all.connectSoon()) {
+            ask(client, "GET /read", "before", "", "");
+            String entry = "{\"name\":\"a\",\"address\":\"" + all.other.address()
+                + "\",\"status\":\"in_service\",\"since_ms\":0,\"image_id\":1}";
+            all.discovery.next().answer("200 OK", "", "{\"index\":5,\"snapshot\":true,\"endpoints\":[" + entry + "]}");
+            all.other.next().answer("200 OK", "", "there");
+            assertThat(read(client).body()).isEqualTo("there");
+        }
+        assertThat(all.unit.calls).isEmpty();
+    }
+
+    @Test
+    void aReqIsServedByWhatIsKnownWhereNoListComes() throws Exception {
+        all.process = all.program(all.config.toString(), "serve", "cold");
+        try (Socket client = all.connectSoon()) {
+            ask(client, "GET /read", "unlisted", "", "");
+            all.unit.next().answer("200 OK", "", "known");
+            assertThat(read(client).body()).isEqualTo("known");
+        }
+    }
+
     @Test
     void aRelayComesBackUnderItsNameAndAddress() throws Exception {
         all.start();
