A relay new to a trial measures its outcomes by the routes' objectives

A relay that restarts during a trial has no outcomes of the earlier build, and with the cap at 1 it gets none: find() gave no verdict for it, and it voted on with the rest.

--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -323,7 +323,7 @@
         Unit u = units.get(unit);
         if (u != null && nowUs - agoUs >= u.at.startUs()) {
             // A wrong answer is an error of the build; it looked like any other when it came.
-            u.build.record(u, true, 0, 0);
+            u.build.record(u, true, false, 0, 0);
         }
     }
 
@@ -340,7 +340,7 @@
             List<Outcome> cell = new ArrayList<>(count);
             for (int i = 0; i < count; i++) {
                 if (i >= failed || chance.nextDouble() < heard.mean(nowUs, 1)) {
-                    cell.add(new Outcome(route, DESK - route, i < failed, meanUs, 0, age));
+                    cell.add(new Outcome(route, DESK - route, i < failed, false, meanUs, 0, age));
                 }
             }
             b.counts.add(new Slice(endUs / SLICE_US, cell));
@@ -620,9 +620,9 @@
             return best;
         }
 
-        private void record(Unit unit, boolean failed, double slowness, double load) {
+        private void record(Unit unit, boolean failed, boolean late, double slowness, double load) {
             long ageUs = unit.at.startUs() > 0 ? nowUs - unit.at.startUs() : Long.MAX_VALUE;
-            own.add(nowUs / SLICE_US, new Outcome(unit, unit.at.kind(), failed, slowness, load, ageUs));
+            own.add(nowUs / SLICE_US, new Outcome(unit, unit.at.kind(), failed, late, slowness, load, ageUs));
         }
     }
 
@@ -704,7 +704,7 @@
             if (ending != Ending.COMPLETED) {
                 heard.add(nowUs, noError ? 0 : 1);
             }
-            // A unit that is silent to all says nothing of one route: its tries would make that look hopeless.
+            // A unit that is silent to all says nothing of one route: its tries would make it look hopeless.
             boolean spoke = ending == Ending.COMPLETED || unheard && lastAnswerUs > t.sentUs;
             if (!build.onTrial() && stoodUs != nowUs && spoke) {
                 routeSlow[t.rq.routeNo].add(nowUs, (double) tookUs / t.rq.costUs);
@@ -718,8 +718,8 @@
                 return;
             }
             double others = (charter.relays() - 1) * ahead.drawn(nowUs, build.ahead.mean(nowUs, 0), PRIOR);
-            build.record(this, ending != Ending.COMPLETED && !unheard, slow,
-                (t.ahead + out.size()) / 2.0 + others);
+            build.record(this, ending != Ending.COMPLETED && !unheard, tookUs > t.rq.route.objectiveUs(),
+                slow, (t.ahead + out.size()) / 2.0 + others);
         }
 
         /**
@@ -893,7 +893,7 @@
         long confirmUs = finding == Finding.ERRORS || many ? CONFIRM_ERRORS_US : CONFIRM_SLOW_US;
         boolean sure = fails && failedUs >= confirmUs;
         if (phase == Phase.RELEASED) {
-            // Released: the earlier build's machines leave, so nothing shows like load; only errors count.
+            // Released: nothing shows like load any more; errors count, or many voices.
             boolean bad = sure && (finding == Finding.ERRORS || many) && nowUs - stageFromUs < WATCH_US;
             cast(bad ? Verdict.BACK : Verdict.NONE);
             return;
@@ -962,8 +962,8 @@
         verdictUs = verdict == this.verdict ? verdictUs : nowUs;
         this.verdict = verdict;
         boolean said = verdict == stands && (verdict == Verdict.NONE || !lapsing);
-        if (said || waiting || nowUs < voteNotBeforeUs
-                || verdict != Verdict.BACK && nowUs < turnUs() + (verdict == Verdict.ON ? leastUs : verdictUs)) {
+        long fromUs = turnUs() + (verdict == Verdict.ON ? leastUs : verdictUs);
+        if (said || waiting || nowUs < voteNotBeforeUs || verdict != Verdict.BACK && nowUs < fromUs) {
             return;
         }
         boolean logged = verdict != stands && chance.nextInt(charter.relays()) < VOICES_LOGGED;
@@ -992,7 +992,8 @@
      */
     private Finding find(Build trial, Build earlier) {
         if (earlier == null) {
-            return Finding.NO_VERDICT;
+            boolean many = charter.relays() > FEW_RELAYS;
+            return many ? oneOfMany(trial.own.from(weighedFrom()), List.of(), List.of()) : Finding.NO_VERDICT;
         }
         Finding found = compare(trial, trial.own, earlier.own, earlier.own.all(), MARGIN, FLEET_MARGIN,
             stretch);
@@ -1089,9 +1090,9 @@
     }
 
     /**
-     * Guards against bad builds, of any kind, of which each relay of many sees too little: the lower end is
-     * also that of an exact interval, at the level at which as many voices as send a build back are not wrong
-     * together. Units are counted. Could harm where a trouble strikes mostly units on trial.
+     * Guards against bad builds of which each relay of many sees too little: an exact interval's lower end,
+     * at the level at which as many voices as send it back are not wrong together. Units are counted. Could
+     * harm where a trouble strikes mostly units on trial.
      */
     private Finding oneOfMany(List<Slice> mine, List<Slice> theirs, List<Slice> lately) {
         double errorBar = Math.max(ERROR_BAR, MARGIN * Math.max(Slice.errors(theirs), Slice.errors(lately)));
@@ -1099,15 +1100,16 @@
             Finding.ERRORS);
         LikeLoad like = new LikeLoad(theirs, LOAD_STEPS, FEWEST / 2);
         double[][] there = like.against(theirs, 0);
-        if (errors == Finding.ERRORS || there.length == 0) {
+        if (errors == Finding.ERRORS) {
             return errors;
         }
+        // A relay that has just started knows no earlier times: a route's objective stands for the bar.
         double bar = MARGIN * Bootstrap.percentile(there, once(theirs), PERCENTILE);
         long warmUs = Math.max(WARM_UP_US, charter.warmWithinUs());
         List<Outcome> warm = Slice.outcomes(mine).filter(o -> !o.failed() && o.ageUs() > warmUs
-            && !Double.isNaN(like.usual(o))).toList();
-        Finding slow = past(warm.size(), warm.stream().filter(o -> o.slowness() / like.usual(o) > bar),
-            1 - PERCENTILE, Finding.SLOW);
+            && !(there.length > 0 && Double.isNaN(like.usual(o)))).toList();
+        Finding slow = past(warm.size(), warm.stream().filter(o -> there.length == 0 ? o.late()
+            : o.slowness() / like.usual(o) > bar), 1 - PERCENTILE, Finding.SLOW);
         return slow == Finding.NO_VERDICT ? errors : slow;
     }
 
