--- a/src/test/java/gatelock/SessionsTest.java
+++ b/src/test/java/gatelock/SessionsTest.java
@@ -75,6 +75,10 @@
             assertThat(close.code()).isEqualTo(4001);
             assertThat(tablet.frame().opcode()).isEqualTo(-1);
         }
+        // The unit's own thread notes the close at its own time.
+        for (int i = 0; i < 200 && hive.log().stream().noneMatch(c -> c.what().equals("close 4001")); i++) {
+            Thread.sleep(50);
+        }
         assertThat(hive.log()).anyMatch(c -> c.what().equals("close 4001"));
     }
 
