--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -163,6 +163,7 @@
     private final double stretch; // how much wider an interval must be, as any of many voices may be wrong
     private final double topValue;
     private final int number;
+    private final boolean many;
     private long leastUs; // when the stage's least time has passed: from then on all relays' turns count
     private long verdictUs;
     private Verdict verdict = Verdict.NONE;
@@ -181,6 +182,7 @@
         this.logLevel = Bootstrap.logLevel(FALSE_BACKS, charter.relays(),
             Math.max(1, charter.rollout().backVotes()));
         this.stretch = Math.max(1, Bootstrap.normalWidth(logLevel) / TAIL_WIDTH);
+        this.many = charter.relays() > FEW_RELAYS;
         this.number = charter.number() >= 0 ? charter.number() : chance.nextInt(charter.relays());
         Arrays.setAll(cost, i -> new Fading(20.0 * SECOND));
         Arrays.setAll(tenantRate, i -> new Fading(RATE_MEMORY_US));
@@ -889,7 +891,6 @@
         long sinceUs = Math.min(BEAT_US, nowUs - weighedUs);
         failedUs = finding == Finding.PASS ? 0 : Math.max(0, failedUs + (fails ? sinceUs : -sinceUs));
         weighedUs = nowUs;
-        boolean many = charter.relays() > FEW_RELAYS;
         long confirmUs = finding == Finding.ERRORS || many ? CONFIRM_ERRORS_US : CONFIRM_SLOW_US;
         boolean sure = fails && failedUs >= confirmUs;
         if (phase == Phase.RELEASED) {
@@ -992,7 +993,6 @@
      */
     private Finding find(Build trial, Build earlier) {
         if (earlier == null) {
-            boolean many = charter.relays() > FEW_RELAYS;
             return many ? oneOfMany(trial.own.from(weighedFrom()), List.of(), List.of()) : Finding.NO_VERDICT;
         }
         Finding found = compare(trial, trial.own, earlier.own, earlier.own.all(), MARGIN, FLEET_MARGIN,
@@ -1013,7 +1013,7 @@
         boolean slow = found == Finding.SLOW;
         boolean fails = slow || found == Finding.ERRORS;
         String said = ground;
-        if (!fails && its == trial.own && charter.relays() > FEW_RELAYS) {
+        if (!fails && its == trial.own && many) {
             Finding asOne = oneOfMany(mine, theirs, earlier.from(weighedFrom()));
             if (asOne != Finding.NO_VERDICT) {
                 return asOne;
@@ -1039,7 +1039,7 @@
         // are set against what the earlier build needed before the trial, without the worse half of them, as
         // other troubles spare some; with many relays, whose like load is a guess, only if no more work comes
         // than then. Could harm when something else slows the whole fleet during a trial.
-        if (fails || charter.relays() > FEW_RELAYS && takenWork() > MORE_WORK * takenBefore) {
+        if (fails || many && takenWork() > MORE_WORK * takenBefore) {
             return found;
         }
         List<Slice> all = new ArrayList<>(mine);
@@ -1098,11 +1098,11 @@
         double errorBar = Math.max(ERROR_BAR, MARGIN * Math.max(Slice.errors(theirs), Slice.errors(lately)));
         Finding errors = past(Slice.seen(mine), Slice.outcomes(mine).filter(Outcome::failed), errorBar,
             Finding.ERRORS);
-        LikeLoad like = new LikeLoad(theirs, LOAD_STEPS, FEWEST / 2);
-        double[][] there = like.against(theirs, 0);
         if (errors == Finding.ERRORS) {
             return errors;
         }
+        LikeLoad like = new LikeLoad(theirs, LOAD_STEPS, FEWEST / 2);
+        double[][] there = like.against(theirs, 0);
         // A relay that has just started knows no earlier times: a route's objective stands for the bar.
         double bar = MARGIN * Bootstrap.percentile(there, once(theirs), PERCENTILE);
         long warmUs = Math.max(WARM_UP_US, charter.warmWithinUs());
--- a/src/test/java/gatelock/RelayTest.java
+++ b/src/test/java/gatelock/RelayTest.java
@@ -355,11 +355,12 @@
         String entry = "{\"name\":\"%s\",\"address\":\"" + all.other.address()
             + "\",\"status\":\"in_service\",\"since_ms\":%s,\"image_id\":1}";
         String text = "{\"index\":5,\"snapshot\":true,\"endpoints\":[%s,%s]}";
-        for (String odd : new String[] {String.format(entry, "x", "0"), String.format(entry, "y", "-5"),
-            String.format(entry, "y", "9999999999999"), String.format(entry, "y", "0").replace("\"image_id\":1",
-                "\"image_id\":\"one\"")}) {
+        String good = String.format(entry, "x", "0");
+        for (String odd : new String[] {good, String.format(entry, "y", "-5"),
+            String.format(entry, "y", "9999999999999"),
+            String.format(entry, "y", "0").replace("\"image_id\":1", "\"image_id\":\"one\"")}) {
             for (int i = 0; i < 3; i++) {
-                all.discovery.next().answer("200 OK", "", String.format(text, String.format(entry, "x", "0"), odd));
+                all.discovery.next().answer("200 OK", "", String.format(text, good, odd));
             }
         }
         all.discovery.next();
@@ -566,7 +567,8 @@
             ask(client, "GET /read", "before", "", "");
             String entry = "{\"name\":\"a\",\"address\":\"" + all.other.address()
                 + "\",\"status\":\"in_service\",\"since_ms\":0,\"image_id\":1}";
-            all.discovery.next().answer("200 OK", "", "{\"index\":5,\"snapshot\":true,\"endpoints\":[" + entry + "]}");
+            all.discovery.next().answer("200 OK", "",
+                "{\"index\":5,\"snapshot\":true,\"endpoints\":[" + entry + "]}");
             all.other.next().answer("200 OK", "", "there");
             assertThat(read(client).body()).isEqualTo("there");
         }
--- a/src/test/java/gatelock/fleet/Fleet.java
+++ b/src/test/java/gatelock/fleet/Fleet.java
@@ -315,8 +315,8 @@
             Rollout rollout = new Rollout(Rollout.Gatekeeping.COUNT, terms.bakeUs, 6 * S, 2 * S, desk.caps(),
                 0, false, false, terms.free, terms.voices(terms.backShare), terms.callsPerS, false);
             Charter charter = new Charter(terms.seed * 1000 + number * 31L + life, terms.relays, number,
-                routes, List.of(), 1, 5, true, true, 2 * S, false, terms.coldFrom, terms.warmUs, terms.coldMultiple,
-                terms.windowUs, terms.openingPrice, 20 * S, rollout);
+                routes, List.of(), 1, 5, true, true, 2 * S, false, terms.coldFrom, terms.warmUs,
+                terms.coldMultiple, terms.windowUs, terms.openingPrice, 20 * S, rollout);
             gate = new ReleaseGate(charter, this);
             up = true;
             gate.start(nowUs);
