A try whose connection comes up late asks again before its first byte

Need: for drains a send counts from its first byte, for the cap from its last. A try waits up to the settings' dial time for its connection, and Line.up wrote whatever had happened meanwhile: the unit told to leave or back as another process, the build sent back. Discovery.noted closed idle connections only.

Change: Line asks its user before the first byte, the module answers for the unit and build as they are then (Unit.mayGetNew, asked by messages of sessions too); a list that changes a unit asks at once for what still comes up there. Such a try ends as not sent, proven never run, and goes on for a tenth of a retry.

Measured: this is not the cause of the drain break.

Tests: units that accept late, judged by the bytes that reach them; a scenario for drain, another process, a cap of 0.

--- a/src/main/java/gatelock/decision/Bootstrap.java
+++ b/src/main/java/gatelock/decision/Bootstrap.java
@@ -10,8 +10,11 @@
     private Bootstrap() {
     }
 
-    /** The lower end, the middle and the upper end of a figure, with a share left out at either end. */
-    static double[] interval(int slices, int draws, double tail, RandomGenerator chance,
+    /**
+     * The lower and the upper end of a figure, with a share left out at either end, the lower one so many times
+     * as far from the middle.
+     */
+    static double[] interval(int slices, int draws, double tail, double stretch, RandomGenerator chance,
                              ToDoubleFunction<int[]> figure) {
         double[] found = new double[draws];
         for (int d = 0; d < draws; d++) {
@@ -23,7 +26,15 @@
         }
         Arrays.sort(found);
         int cut = (int) (draws * tail);
-        return new double[] {found[cut], found[draws / 2], found[draws - 1 - cut]};
+        double middle = found[draws / 2];
+        return new double[] {middle - (middle - found[cut]) * stretch, found[draws - 1 - cut]};
+    }
+
+    /** Each of so many slices drawn once: the figure as it was seen. */
+    static int[] once(int slices) {
+        int[] times = new int[slices];
+        Arrays.fill(times, 1);
+        return times;
     }
 
     /** The share of the second column in the first, rows counted so many times. */
--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -4,7 +4,6 @@
 import gatelock.relay.Rollout.Gatekeeping;
 
 import java.util.*;
-import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
 import java.util.stream.*;
 
@@ -164,6 +163,7 @@
     private final double topValue;
     private final int number;
     private final boolean many;
+    private final double unitMemoryUs;
     private long leastUs; // when the stage's least time has passed: from then on all relays' turns count
     private long verdictUs;
     private Verdict verdict = Verdict.NONE;
@@ -183,6 +183,7 @@
             Math.max(1, charter.rollout().backVotes()));
         this.stretch = Math.max(1, Bootstrap.normalWidth(logLevel) / TAIL_WIDTH);
         this.many = charter.relays() > FEW_RELAYS;
+        this.unitMemoryUs = SPEED_MEMORY_US * Math.min(LONGEST, Math.max(1, charter.relays() / FEW_RELAYS));
         this.number = charter.number() >= 0 ? charter.number() : chance.nextInt(charter.relays());
         Arrays.setAll(cost, i -> new Fading(20.0 * SECOND));
         Arrays.setAll(tenantRate, i -> new Fading(RATE_MEMORY_US));
@@ -237,12 +238,12 @@
         if (first) {
             builds.values().forEach(b -> b.earn(route));
         }
-        if (u == null || u.health != Listed.Health.READY || withdrawn.contains(u.build.number)) {
+        if (u == null || !u.mayGetNew()) {
             return Passing.NEVER;
         }
         boolean trial = u.build.onTrial();
-        if (trial && (u.build.capNow() <= 0 || u.build.room[u.build.slot(route)] < 1)) {
-            return u.build.capNow() <= 0 ? Passing.NEVER : Passing.LATER;
+        if (trial && u.build.room[u.build.slot(route)] < 1) {
+            return Passing.LATER;
         }
         u.build.room[u.build.slot(route)] -= trial ? 1 : 0;
         return Passing.NOW;
@@ -456,7 +457,7 @@
         private void again() {
             boolean may = nowUs < endUs && (neverRan() || route.repeat() != Route.Repeat.NON_RETRIABLE);
             Ending last = tries.get(tries.size() - 1).ending;
-            double price = last == Ending.NOT_CONNECTED ? RECONNECT : 1;
+            double price = last == Ending.NOT_CONNECTED || last == Ending.NOT_SENT ? RECONNECT : 1;
             if (may && retryTokens >= price && tries.size() < Math.min(charter.tryLimit(), bounds.mostTries())
                     && bounds.goesOn(nowUs, last)) {
                 retryTokens -= price;
@@ -499,6 +500,12 @@
             }
         }
 
+        @Override
+        public boolean mayGo(long now, int tryNo) {
+            clock(now);
+            return tries.get(tryNo).unit.mayGetNew();
+        }
+
         @Override
         public void concluded(long now) {
             clock(now);
@@ -583,13 +590,14 @@
         }
 
         private boolean mayTake(Rq rq) {
-            if (!onTrial()) {
-                return !withdrawn.contains(number) && keyAllows(rq);
-            }
-            int stageNow = number == newest ? stage : 0;
-            return capNow() > 0 && room[slot(rq.routeNo)] >= 1 && keyAllows(rq)
-                && (stageNow >= charter.rollout().guardedStages()
-                    || rq.route.repeat() == Route.Repeat.RETRIABLE);
+            boolean guarded = (number == newest ? stage : 0) < charter.rollout().guardedStages();
+            return isOpen() && keyAllows(rq) && (!onTrial() || room[slot(rq.routeNo)] >= 1
+                && (!guarded || rq.route.repeat() == Route.Repeat.RETRIABLE));
+        }
+
+        /** Rule 5: nothing new to a build that went back, or that is on trial without a cap. */
+        private boolean isOpen() {
+            return !withdrawn.contains(number) && (!onTrial() || capNow() > 0);
         }
 
         /** One-way keys: what a build has answered goes to no build before it, unless that was taken back. */
@@ -634,8 +642,8 @@
         private final Listed at;
         private final Build build;
         private final Set<Rq.Try> out = new LinkedHashSet<>();
-        private final Fading slowness = new Fading(unitMemoryUs());
-        private final Fading failures = new Fading(unitMemoryUs());
+        private final Fading slowness = new Fading(unitMemoryUs);
+        private final Fading failures = new Fading(unitMemoryUs);
         private final Fading answers = new Fading(RATE_MEMORY_US);
         private final Fading ahead = new Fading(RATE_MEMORY_US);
         private double budget = -chance.nextDouble() * meanCost();
@@ -752,6 +760,11 @@
             return bad / (bad + slowness.count(nowUs) + 1) > SICK_ERRORS;
         }
 
+        /** Rules 3 and 5: nothing new to what leaves or came back as another, nor to a build not open. */
+        private boolean mayGetNew() {
+            return health == Listed.Health.READY && units.get(at.unit()) == this && build.isOpen();
+        }
+
         /** Whether a connection to it surely stands: it is in use, or was an instant ago. */
         private boolean connected() {
             return !out.isEmpty() || nowUs - lastAnswerUs < OPEN_US;
@@ -841,10 +854,6 @@
         return slownessOf(route) * cost[route].mean(nowUs, meanCost());
     }
 
-    private double unitMemoryUs() {
-        return SPEED_MEMORY_US * Math.min(LONGEST, Math.max(1, charter.relays() / FEW_RELAYS));
-    }
-
     /** What may be in flight over all units: measured rate x time, and this relay's share of a floor. */
     private double mostInFlight(Route route) {
         double perUs = answers.count(nowUs) / RATE_MEMORY_US;
@@ -899,23 +908,22 @@
             cast(bad ? Verdict.BACK : Verdict.NONE);
             return;
         }
-        long least = clockFromUs(trial) + charter.rollout().leastUs();
-        leastUs = least;
+        leastUs = clockFromUs(trial) + charter.rollout().leastUs();
         Verdict verdict;
         if (fails) {
             verdict = sure ? Verdict.BACK : Verdict.HOLD;
         } else if (finding == Finding.PASS) {
-            verdict = nowUs < least ? Verdict.NONE : Verdict.ON;
+            verdict = nowUs < leastUs ? Verdict.NONE : Verdict.ON;
         } else {
             boolean late = few(trial) && charter.rollout().counts();
             // Where half the outcomes are missing, a little more time brings no verdict either.
             int seen = Slice.seen(trial.own.from(weighedFrom()));
             long shortUs = finding == Finding.NO_VERDICT && seen < FEWEST / 2 ? 0 : PATIENCE_US;
             long waitUs = finding == Finding.SUSPECT || late ? LONG_PATIENCE_US : shortUs;
-            verdict = nowUs < least + waitUs ? Verdict.HOLD : Verdict.ON;
+            verdict = nowUs < leastUs + waitUs ? Verdict.HOLD : Verdict.ON;
         }
         boolean clock = charter.rollout().gatekeeping() == Gatekeeping.CLOCK;
-        if (clock && verdict == Verdict.HOLD && nowUs < least - HOLD_LEAD_US) {
+        if (clock && verdict == Verdict.HOLD && nowUs < leastUs - HOLD_LEAD_US) {
             // A hold stops the clock, so that it would have to run all its time afterwards.
             verdict = Verdict.NONE;
         }
@@ -1045,7 +1053,6 @@
         List<Slice> all = new ArrayList<>(mine);
         all.addAll(earlier.from(weighedFrom()));
         List<Object> units = Slice.worst(all, Outcome::slowness);
-        said = ground;
         List<Slice> best = Slice.without(all, units.subList(0, (int) (units.size() * SLOW_PART)));
         boolean allSlow = compare(best, earlier.before(), fleet, stretch, FEWEST) == Finding.SLOW;
         ground = allSlow ? ground : said;
@@ -1058,7 +1065,7 @@
         if (seen < fewest) {
             return Finding.NO_VERDICT;
         }
-        int[] once = once(theirs);
+        int[] once = Bootstrap.once(theirs.size());
         // What strikes both builds is not held against one; sick units of the earlier build are no excuse.
         List<Object> sick = Slice.worst(theirs, Outcome::error);
         boolean known = !theirs.isEmpty() && sick.get(0) instanceof Unit
@@ -1068,7 +1075,8 @@
         double errorBar = Math.max(least, Math.max(margin, MARGIN)
             * Bootstrap.share(Slice.counts(Slice.without(theirs, sick)), once));
         long[][] counts = Slice.counts(mine);
-        double[] errors = interval(mine, stretch, times -> Bootstrap.share(counts, times));
+        double[] errors = Bootstrap.interval(mine.size(), DRAWS, TAIL, stretch, chance,
+            times -> Bootstrap.share(counts, times));
         boolean enough = mine.size() >= FEWEST_SLICES;
         ground += String.format(", errors %.3f to %.3f, bar %.3f", errors[0], errors[1], errorBar);
         if (errors[0] > errorBar && enough) {
@@ -1081,7 +1089,8 @@
             return Finding.NO_VERDICT;
         }
         double bar = margin * Bootstrap.percentile(there, once, PERCENTILE);
-        double[] slow = interval(mine, stretch, times -> Bootstrap.percentile(here, times, PERCENTILE));
+        double[] slow = Bootstrap.interval(mine.size(), DRAWS, TAIL, stretch, chance,
+            times -> Bootstrap.percentile(here, times, PERCENTILE));
         ground += String.format(", slowness %.2f to %.2f, bar %.2f", slow[0], slow[1], bar);
         if (slow[0] > bar && enough) {
             return Finding.SLOW;
@@ -1104,7 +1113,7 @@
         LikeLoad like = new LikeLoad(theirs, LOAD_STEPS, FEWEST / 2);
         double[][] there = like.against(theirs, 0);
         // A relay that has just started knows no earlier times: a route's objective stands for the bar.
-        double bar = MARGIN * Bootstrap.percentile(there, once(theirs), PERCENTILE);
+        double bar = MARGIN * Bootstrap.percentile(there, Bootstrap.once(theirs.size()), PERCENTILE);
         long warmUs = Math.max(WARM_UP_US, charter.warmWithinUs());
         List<Outcome> warm = Slice.outcomes(mine).filter(o -> !o.failed() && o.ageUs() > warmUs
             && !(there.length > 0 && Double.isNaN(like.usual(o)))).toList();
@@ -1113,10 +1122,6 @@
         return slow == Finding.NO_VERDICT ? errors : slow;
     }
 
-    private static int[] once(List<Slice> slices) {
-        return IntStream.range(0, slices.size()).map(i -> 1).toArray();
-    }
-
     /** What it means that so many units are past a bar: as given if it is rarer than one voice may err. */
     private Finding past(int seen, Stream<Outcome> past, double share, Finding fail) {
         int units = (int) past.map(Outcome::unit).distinct().count();
@@ -1125,9 +1130,4 @@
         Finding doubt = chance < DOUBT ? Finding.SUSPECT : Finding.NO_VERDICT;
         return units > 1 && chance < Math.exp(logLevel) ? fail : doubt;
     }
-
-    private double[] interval(List<Slice> slices, double stretch, ToDoubleFunction<int[]> figure) {
-        double[] found = Bootstrap.interval(slices.size(), DRAWS, TAIL, chance, figure);
-        return new double[] {found[1] - (found[1] - found[0]) * stretch, found[2]};
-    }
 }
--- a/src/main/java/gatelock/relay/Handle.java
+++ b/src/main/java/gatelock/relay/Handle.java
@@ -11,6 +11,12 @@
      */
     void ended(long nowUs, int tryNo, Ending ending, long tookUs, boolean over, Load load);
 
+    /**
+     * Whether a try that was sent may still go, asked before its first byte: its connection had to come up, and
+     * what holds may have changed meanwhile. If not, it ends as {@link Ending#NOT_SENT}.
+     */
+    boolean mayGo(long nowUs, int tryNo);
+
     /** The relay owes no answer any more: the client has left, or the answer's head came as a stream. */
     void concluded(long nowUs);
 
--- a/src/main/java/gatelock/wire/Discovery.java
+++ b/src/main/java/gatelock/wire/Discovery.java
@@ -186,7 +186,8 @@
 
     /** Tells whoever chooses among units, pools before the decisions. */
     private void listed(Gate.ListForm form, List<Entry> entries, boolean whole) {
-        List<Listed> listed = noted(entries, whole);
+        List<Listed> listed = entries.stream().map(Entry::listed).toList();
+        List<InetSocketAddress> left = noted(entries, whole);
         if (admission != null) {
             Map<String, Map<String, String>> labels = new HashMap<>();
             entries.stream().filter(e -> !e.labels.isEmpty()).forEach(e -> labels.put(e.listed.unit(),
@@ -194,6 +195,8 @@
             admission.listed(turn.nowUs(), form, listed, labels);
         }
         gate.listed(turn.nowUs(), form, listed);
+        // Only now: whoever waits for a connection to come up asks the decisions whether it may still go.
+        left.forEach(units::close);
     }
 
     /** Labels are our own addition to an entry; what is no text under them is left out. */
@@ -233,15 +236,15 @@
         return entries;
     }
 
-    /** Notes where the units are, and closes the idle connections that serve no more. */
-    private List<Listed> noted(List<Entry> entries, boolean whole) {
-        List<Listed> listed = entries.stream().map(Entry::listed).toList();
-        entries.forEach(e -> addresses.put(e.where, e.listed).forEach(units::close));
+    /** Notes where the units are; returns the addresses to which what stands serves no more. */
+    private List<InetSocketAddress> noted(List<Entry> entries, boolean whole) {
+        List<InetSocketAddress> left = new ArrayList<>();
+        entries.forEach(e -> left.addAll(addresses.put(e.where, e.listed)));
         if (whole) {
-            addresses.keepOnly(listed.stream().map(Listed::unit).collect(Collectors.toSet()))
-                .forEach(units::close);
+            left.addAll(addresses.keepOnly(entries.stream().map(e -> e.listed.unit())
+                .collect(Collectors.toSet())));
         }
-        return listed;
+        return left;
     }
 
     private static int number(List<String> names, Json entry, String field) {
--- a/src/main/java/gatelock/wire/Line.java
+++ b/src/main/java/gatelock/wire/Line.java
@@ -23,6 +23,11 @@
 
     /** Whoever made a call; hears once how it ended, never while the call is being made. */
     public interface User {
+        /** Whether the call may still go: asked before its first byte, if the connection had to come up first. */
+        default boolean mayGo() {
+            return true;
+        }
+
         /** Whether it reads as what was asked for; if not, the connection serves no more. */
         boolean answered(UnitAnswer answer);
 
@@ -107,7 +112,22 @@
         connection.getSinkChannel().setWriteListener(c -> write());
         connection.getSourceChannel().setReadListener(c -> read());
         connection.getSourceChannel().resumeReads();
-        write();
+        home.isUp(this);
+        if (goesOn()) {
+            write();
+        }
+    }
+
+    /**
+     * Asks again whether a call may go of which no byte has gone, and ends it if not. Guards against a party that
+     * left, came back as another process or lost its share while a connection to it came up; should hold however
+     * long that takes. Could harm nothing: such a call has never run, and its user hears so.
+     */
+    boolean goesOn() {
+        if (user != null && !user.mayGo()) {
+            end();
+        }
+        return !ended;
     }
 
     private void write() {
--- a/src/main/java/gatelock/wire/Lines.java
+++ b/src/main/java/gatelock/wire/Lines.java
@@ -6,6 +6,11 @@
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 
 /** The connections that this relay opens to one kind of party, kept between calls. */
@@ -14,6 +19,7 @@
     private final Turn turn;
     private final Counters counters;
     private final Idle<Line> idle;
+    private final Map<InetSocketAddress, Set<Line>> comingUp = new HashMap<>();
     private final long openWithinUs;
     private final long idleUs;
     private final long restUs;
@@ -93,13 +99,25 @@
         }
         open++;
         Line line = new Line(turn, this, address);
+        comingUp.computeIfAbsent(address, a -> new LinkedHashSet<>()).add(line);
         line.open(openWithinUs, call, callUs, parts, user);
         return line;
     }
 
-    /** Closes the idle ones to a party that has left, drains or came back as another process. */
+    /**
+     * A party has left, drains or came back as another process: closes the idle ones to it, and whoever waits for
+     * one to come up is asked whether its call may still go.
+     */
     void close(InetSocketAddress address) {
         idle.closeAll(address);
+        List.copyOf(comingUp.getOrDefault(address, Set.of())).forEach(Line::goesOn);
+    }
+
+    void isUp(Line line) {
+        Set<Line> there = comingUp.get(line.address());
+        if (there != null && there.remove(line) && there.isEmpty()) {
+            comingUp.remove(line.address());
+        }
     }
 
     void idle(Line line) {
@@ -121,6 +139,7 @@
 
     void gone(Line line) {
         open--;
+        isUp(line);
         idle.remove(line);
     }
 }
--- a/src/main/java/gatelock/wire/SendOff.java
+++ b/src/main/java/gatelock/wire/SendOff.java
@@ -41,6 +41,7 @@
         private final long sentUs = turn.nowUs();
         private Line line;
         private boolean ended;
+        private boolean stopped;
 
         Try(OpenReq req) {
             this.req = req;
@@ -71,6 +72,12 @@
             }
         }
 
+        @Override
+        public boolean mayGo() {
+            stopped = !req.handle().mayGo(turn.nowUs(), number);
+            return !stopped;
+        }
+
         @Override
         public void late() {
             end(Ending.TIMED_OUT, null);
@@ -86,7 +93,7 @@
 
         @Override
         public void broken(boolean written) {
-            end(written ? Ending.BROKEN_OFF : Ending.NOT_CONNECTED, null);
+            end(written ? Ending.BROKEN_OFF : stopped ? Ending.NOT_SENT : Ending.NOT_CONNECTED, null);
         }
 
         private void end(Ending ending, UnitAnswer answer) {
--- a/src/test/java/gatelock/ScenariosTest.java
+++ b/src/test/java/gatelock/ScenariosTest.java
@@ -125,6 +125,8 @@
                 case "vote" -> assertThat(votes).as(where).contains(Verdict.valueOf(w[2].toUpperCase()));
                 case "no-vote" -> assertThat(votes).as(where).doesNotContain(Verdict.valueOf(w[2].toUpperCase()));
                 case "votes" -> within(votes.size(), named, where);
+                case "may-go" -> assertThat(mayGo(w[2])).as(where).isTrue();
+                case "stays" -> assertThat(mayGo(w[2])).as(where).isFalse();
                 case "cancelled" -> assertThat(cancels).as(where).contains(w[2]);
                 case "cancels" -> within(cancels.size(), named, where);
                 case "follows" -> within(follows, named, where);
@@ -137,6 +139,11 @@
             }
         }
 
+        /** Whether the last try of a req may still go, as it is asked when its connection has come up. */
+        private boolean mayGo(String id) {
+            return reqs.get(id).mayGo(nowUs, lastSend(id).tryNo);
+        }
+
         private static void within(double figure, Map<String, String> named, String where) {
             assertThat(figure).as(where).isBetween(num(named, "min", 0), num(named, "max", 1e9));
         }
--- a/src/test/java/gatelock/StandIns.java
+++ b/src/test/java/gatelock/StandIns.java
@@ -7,6 +7,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -46,9 +47,38 @@
         /** Connections that the program ended. */
         final BlockingQueue<Socket> ended = new LinkedBlockingQueue<>();
         final List<Socket> connections = new CopyOnWriteArrayList<>();
-        final ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        final ServerSocket listener;
+        private final List<Socket> filling = new ArrayList<>();
 
         Party() throws IOException {
+            listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+            accept();
+        }
+
+        /** One to which no connection comes up until it accepts: the queue of those that wait is full. */
+        static Party thatAcceptsLater() throws IOException {
+            Party late = new Party(new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
+            for (int i = 0; i < 16; i++) {
+                Socket socket = new Socket();
+                late.filling.add(socket);
+                try {
+                    socket.connect(late.listener.getLocalSocketAddress(), 300);
+                } catch (SocketTimeoutException e) {
+                    return late;
+                }
+            }
+            throw new IOException("the queue never fills");
+        }
+
+        private Party(ServerSocket listener) {
+            this.listener = listener;
+        }
+
+        /** From now on connections come up. */
+        void accept() throws IOException {
+            for (Socket s : filling) {
+                s.close();
+            }
             go(() -> {
                 while (!listener.isClosed()) {
                     Socket socket = listener.accept();
@@ -81,6 +111,7 @@
         @Override
         public void close() throws IOException {
             listener.close();
+            connections.addAll(filling);
             for (Socket s : connections) {
                 s.close();
             }
