--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -1038,8 +1038,8 @@
                 .mapToLong(u -> u.at.startUs()).max().orElse(0);
             boolean alone = !slow && trial.ready.stream().filter(u -> !odd.contains(u))
                 .noneMatch(u -> u.at.startUs() <= asOldUs);
-            List<Slice> well = Slice.withoutWorst(mine, slow ? Outcome::slowness : Outcome::error,
-                slow ? SLOW_PART : SICK_PART);
+            List<Slice> well = slow ? Slice.withoutWorst(mine, Outcome::slowness, SLOW_PART)
+                : Slice.without(mine, odd);
             boolean rest = alone || compare(well, theirs, MARGIN, stretch, FEWEST / 2) == found;
             return rest ? found : Finding.SUSPECT;
         }
