A zone that falls silent is left as a whole before the list says so

The zone falls silent at about 8 s, the list drops its units between 10.5 and 15.5 s; each relay took 10 to 20 of 60 units for bad while nearly half were silent, its room in flight was full of tries there, and 75% of reqs were refused from 10 to 15 s.

Change: late tries are counted by zone (Silence), and where most had no answer while another zone has them its units count as out of use, until they answer.

--- a/src/main/java/gatelock/decision/Bootstrap.java
+++ b/src/main/java/gatelock/decision/Bootstrap.java
@@ -11,8 +11,8 @@
     }
 
     /**
-     * The lower and the upper end of a figure, with a share left out at either end, the lower one so many times
-     * as far from the middle.
+     * The lower and the upper end of a figure, with a share left out at either end, the lower one so many
+     * times as far from the middle.
      */
     static double[] interval(int slices, int draws, double tail, double stretch, RandomGenerator chance,
                              ToDoubleFunction<int[]> figure) {
--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -1,7 +1,6 @@
 package gatelock.decision;
 
 import gatelock.relay.*;
-import gatelock.relay.Rollout.Gatekeeping;
 
 import java.util.*;
 import java.util.random.RandomGenerator;
@@ -86,6 +85,8 @@
     private static final double OVERDUE_TIMES = 3;
     private static final long STOOD_US = 600_000; // the relay itself stood still: no call, for two beats
     private static final double SICK_ERRORS = 0.35; // out of use: of a unit's late outcomes and one good one
+    private static final double ZONE_MEMORY_US = 2.0 * SECOND; // tries by zone, and how many tell of one
+    private static final double FEWEST_OF_ZONE = 2.5;
     private static final double TRY_BAD = 0.1; // of its retriable reqs, still sent to a unit out of use
     private static final double MOST = 0.6; // if more units look bad, the units are not the cause
 
@@ -124,6 +125,8 @@
     private double takenBefore;
     private long startUs;
     private final TreeMap<Integer, Fading> slowByKind = new TreeMap<>();
+    private final Silence zones = new Silence(ZONE_MEMORY_US);
+    private Set<Integer> lostZones = Set.of();
     private final Fading slowOfAll = new Fading(SPEED_MEMORY_US);
     private int places = 1;
     private int inFlight;
@@ -189,10 +192,7 @@
         Arrays.setAll(tenantRate, i -> new Fading(RATE_MEMORY_US));
     }
 
-    /**
-     * Guards against this relay itself having stood still: no call came for much longer than a beat. What is
-     * then found waiting came late through no unit's fault, and has a little room of its own.
-     */
+    /** Guards against this relay having stood still: what then waits came late through no unit's fault. */
     private void clock(long nowUs) {
         if (nowUs - this.nowUs > STOOD_US && this.nowUs > 0) {
             stoodUs = nowUs;
@@ -360,6 +360,9 @@
             out.timer(BEAT_US, BEAT);
             List.copyOf(triesOut).forEach(t -> t.unit.lookForOverdue(t));
             List<Unit> ready = builds.values().stream().flatMap(b -> b.ready.stream()).toList();
+            // Guards against a zone cut off or gone before the list says so: all its units would be tried.
+            // Could harm where its sick units had the few tries: a tenth still goes there.
+            lostZones = zones.silent(nowUs, FEWEST_OF_ZONE, MOST, SICK_ERRORS);
             someBad = ready.stream().filter(Unit::looksBad).count() <= MOST * ready.size();
             weigh();
         } else if (token == ASK_LIST) {
@@ -577,10 +580,7 @@
             return number == newest ? cap : caps.length == 0 ? 0 : caps[0];
         }
 
-        /**
-         * Rule 5, for any window: the tries since any moment stay within free + cap x reqs since then. Kept
-         * as room that never exceeds 'free', so that no window can open after the reqs that earned it.
-         */
+        /** Rule 5, for any window: room never exceeds 'free', so none opens after the reqs that earned it. */
         private void earn(int route) {
             room[slot(route)] = Math.min(charter.rollout().free(), room[slot(route)] + capNow());
         }
@@ -683,6 +683,10 @@
             if (!build.onTrial()) {
                 refused.add(nowUs, ending == Ending.NOT_CONNECTED ? 1 : 0);
             }
+            boolean silent = ending == Ending.NOT_CONNECTED || ending == Ending.TIMED_OUT;
+            if (ending != Ending.CANCELLED && !(silent && t.overdue)) {
+                zones.add(nowUs, at.zone(), silent);
+            }
             if (ending == Ending.COMPLETED) {
                 lastAnswerUs = nowUs;
                 answers.add(nowUs, 1);
@@ -747,6 +751,7 @@
             t.overdue = true;
             inFlight--;
             failures.add(nowUs, 1);
+            zones.add(nowUs, at.zone(), true);
             if (!t.rq.over && t.rq.route.repeat() != Route.Repeat.NON_RETRIABLE && charter.mayCancel()
                     && someBad && retryTokens >= 1) {
                 t.cancelled = true;
@@ -757,7 +762,7 @@
         /** Guards against a unit that fails much or leaves tries overdue, whatever the cause. */
         private boolean looksBad() {
             double bad = failures.count(nowUs);
-            return bad / (bad + slowness.count(nowUs) + 1) > SICK_ERRORS;
+            return lostZones.contains(at.zone()) || bad / (bad + slowness.count(nowUs) + 1) > SICK_ERRORS;
         }
 
         /** Rules 3 and 5: nothing new to what leaves or came back as another, nor to a build not open. */
@@ -797,16 +802,14 @@
          */
         private boolean inBudget() {
             double times = cold() ? Math.min(TRIAL_TIMES, COLD_PART * charter.coldMultiple()) : TRIAL_TIMES;
-            double rate = times * able() * workPerPlace() * usualSlowness(-1) / usualSlowness(at.kind());
+            double works = Math.max(done.sum(nowUs), TAKEN_PART * taken.sum(nowUs)) / WORK_MEMORY_US;
+            double rate = times * able() * works / places * usualSlowness(-1) / usualSlowness(at.kind());
             budget = Math.min(budget + rate * (nowUs - budgetUs), rate * SAVED_US);
             budgetUs = nowUs;
             return budget > 0;
         }
 
-        /**
-         * In announced work. Where a new connection has a price, it counts as the wait that costs as much: a
-         * req is worth nothing after its objective. Not on trial: outcomes are wanted from all its units.
-         */
+        /** In announced work; not on trial a new connection counts as the wait that costs as much worth. */
         private double expectedWait(Rq rq) {
             double queue = nowUs - waitingAtUs < SECOND ? waiting : 0;
             double opening = lineStands() || build.onTrial() ? 0
@@ -865,11 +868,6 @@
         return quick * (FLEET_FLOOR * places / charter.relays() + inTime) + backlog;
     }
 
-    /** Work this relay completes for each of the fleet's places, in microseconds of work per microsecond. */
-    private double workPerPlace() {
-        return Math.max(done.sum(nowUs), TAKEN_PART * taken.sum(nowUs)) / WORK_MEMORY_US / places;
-    }
-
     /** Time per announced work at the units not on trial: of one kind (-1: all), drawn to that of all. */
     private double usualSlowness(int kind) {
         double all = slowOfAll.mean(nowUs, 1.5);
@@ -922,7 +920,7 @@
             long waitUs = finding == Finding.SUSPECT || late ? LONG_PATIENCE_US : shortUs;
             verdict = nowUs < leastUs + waitUs ? Verdict.HOLD : Verdict.ON;
         }
-        boolean clock = charter.rollout().gatekeeping() == Gatekeeping.CLOCK;
+        boolean clock = charter.rollout().gatekeeping() == Rollout.Gatekeeping.CLOCK;
         if (clock && verdict == Verdict.HOLD && nowUs < leastUs - HOLD_LEAD_US) {
             // A hold stops the clock, so that it would have to run all its time afterwards.
             verdict = Verdict.NONE;
--- a/src/main/java/gatelock/decision/Silence.java
+++ b/src/main/java/gatelock/decision/Silence.java
@@ -9,6 +9,7 @@
 final class Silence {
     private final double memoryUs;
     private final Map<Integer, Fading> places = new TreeMap<>();
+    private Set<Integer> silent = Set.of();
 
     Silence(double memoryUs) {
         this.memoryUs = memoryUs;
@@ -19,12 +20,16 @@
     }
 
     /**
-     * Places with enough late tries of which more than {@code most} had no answer, if less had none at another.
+     * Places with so many late tries of which more than {@code most} had no answer, if less than {@code less}
+     * had none at another place. One that was silent stays so until answers come from it or it was not tried
+     * for long.
      */
     Set<Integer> silent(long nowUs, double fewest, double most, double less) {
-        boolean another = places.values().stream().anyMatch(f -> f.count(nowUs) >= fewest
-            && f.mean(nowUs, 1) < less);
-        return places.entrySet().stream().filter(p -> another && p.getValue().count(nowUs) >= fewest
-            && p.getValue().mean(nowUs, 0) > most).map(Map.Entry::getKey).collect(Collectors.toSet());
+        boolean another = places.values().stream().anyMatch(f -> f.mean(nowUs, 1) < less);
+        Set<Integer> before = silent;
+        silent = places.entrySet().stream().filter(p -> another && p.getValue().mean(nowUs, 0) > most
+            && (before.contains(p.getKey()) || p.getValue().count(nowUs) >= fewest)).map(Map.Entry::getKey)
+            .collect(Collectors.toSet());
+        return silent;
     }
 }
--- a/src/main/java/gatelock/decision/Slice.java
+++ b/src/main/java/gatelock/decision/Slice.java
@@ -30,9 +30,9 @@
     }
 
     /**
-     * Without a share of the units, one at least: those worst by a figure in every other slice, and in the rest
-     * those worst in these. So none is left out for the very outcomes that are looked at: of few a unit, that
-     * would leave out any outcome that is bad by chance.
+     * Without a share of the units, one at least: those worst by a figure in every other slice, and in the
+     * rest those worst in these. So none is left out for the very outcomes that are looked at: of few a unit,
+     * that would leave out any outcome that is bad by chance.
      */
     static List<Slice> withoutWorst(List<Slice> slices, ToDoubleFunction<Outcome> figure, double share) {
         List<Slice> kept = new ArrayList<>();
--- a/src/main/java/gatelock/wire/Line.java
+++ b/src/main/java/gatelock/wire/Line.java
@@ -23,7 +23,7 @@
 
     /** Whoever made a call; hears once how it ended, never while the call is being made. */
     public interface User {
-        /** Whether the call may still go: asked before its first byte, if the connection had to come up first. */
+        /** Whether the call may still go: asked before its first byte, if its connection had to come up. */
         default boolean mayGo() {
             return true;
         }
@@ -100,9 +100,9 @@
     }
 
     /**
-     * The time for a call is over. Guards against a thread that is late itself: what is due runs before what can
-     * be read, so the answer may lie there. Should hold for any call; could harm nothing, as it came in time or
-     * nearly so, and whoever made the call judges that.
+     * The time for a call is over. Guards against a thread that is late itself: what is due runs before what
+     * can be read, so the answer may lie there. Should hold for any call; could harm nothing, as it came in
+     * time or nearly so, and whoever made the call judges that.
      */
     private void overdue(User caller) {
         if (connection != null && written) {
@@ -131,9 +131,9 @@
     }
 
     /**
-     * Asks again whether a call may go of which no byte has gone, and ends it if not. Guards against a party that
-     * left, came back as another process or lost its share while a connection to it came up; should hold however
-     * long that takes. Could harm nothing: such a call has never run, and its user hears so.
+     * Asks again whether a call may go of which no byte has gone, and ends it if not. Guards against a party
+     * that left, came back as another process or lost its share while a connection to it came up; should hold
+     * however long that takes. Could harm nothing: such a call has never run, and its user hears so.
      */
     boolean goesOn() {
         if (user != null && !user.mayGo()) {
--- a/src/main/java/gatelock/wire/Lines.java
+++ b/src/main/java/gatelock/wire/Lines.java
@@ -105,8 +105,8 @@
     }
 
     /**
-     * A party has left, drains or came back as another process: closes the idle ones to it, and whoever waits for
-     * one to come up is asked whether its call may still go.
+     * A party has left, drains or came back as another process: closes the idle ones to it, and whoever waits
+     * for one to come up is asked whether its call may still go.
      */
     void close(InetSocketAddress address) {
         idle.closeAll(address);
--- a/src/test/java/gatelock/ScenariosTest.java
+++ b/src/test/java/gatelock/ScenariosTest.java
@@ -49,6 +49,7 @@
     private static final class Stage implements Outlet {
         private final Map<String, String> terms = new HashMap<>();
         private final Map<String, Integer> buildOf = new HashMap<>();
+        private final Map<String, Integer> zoneOf = new HashMap<>();
         private final Map<String, Map<String, String>> manners = new LinkedHashMap<>();
         private final PriorityQueue<Due> dues = new PriorityQueue<>((a, b) -> a.atUs != b.atUs
             ? Long.compare(a.atUs, b.atUs) : Long.compare(a.order, b.order));
@@ -162,7 +163,8 @@
         }
 
         private boolean matches(String unit, String what) {
-            return what.startsWith("build") ? buildOf.get(unit) == Integer.parseInt(what.substring(5))
+            return what.startsWith("zone") ? zoneOf.get(unit) == Integer.parseInt(what.substring(4))
+                : what.startsWith("build") ? buildOf.get(unit) == Integer.parseInt(what.substring(5))
                 : unit.equals(what);
         }
 
@@ -263,11 +265,12 @@
         private List<Listed> units(String[] w) {
             List<Listed> found = new ArrayList<>();
             for (int i = 1; i < w.length; i++) {
-                String[] p = w[i].split("(?=[/@!#%])");
+                String[] p = w[i].split("(?=[/@!#%$])");
                 Map<Character, String> parts = new HashMap<>();
                 Arrays.stream(p).skip(1).forEach(x -> parts.put(x.charAt(0), x.substring(1)));
                 buildOf.put(p[0], Integer.parseInt(parts.get('/')));
-                found.add(new Listed(p[0], buildOf.get(p[0]), 0, Integer.parseInt(parts.getOrDefault('#', "0")),
+                zoneOf.put(p[0], Integer.parseInt(parts.getOrDefault('$', "0")));
+                found.add(new Listed(p[0], buildOf.get(p[0]), zoneOf.get(p[0]), Integer.parseInt(parts.getOrDefault('#', "0")),
                     Integer.parseInt(parts.getOrDefault('%', "0")),
                     Listed.Health.valueOf(parts.getOrDefault('!', "ready").toUpperCase()),
                     parts.containsKey('@') ? startUs + us(parts.get('@')) : 0));
--- a/src/test/java/gatelock/fleet/Fleet.java
+++ b/src/test/java/gatelock/fleet/Fleet.java
@@ -39,6 +39,7 @@
         double uneven = 6;
         double workUs = 360 * MS;
         int slots = 4;
+        int zones = 2;
         int queue = 30;
         double coldFrom = 0.4;
         long warmUs = 3 * S;
@@ -151,6 +152,11 @@
         }
     }
 
+    /** All units of a zone stand still for so long, and nothing tells of it. */
+    void pauseZone(int zone, long forUs) {
+        units.values().stream().filter(u -> u.zone == zone).forEach(u -> u.pause(forUs));
+    }
+
     private void pauseAgain(Unit u, long forUs, long everyUs) {
         in((long) (everyUs * exp()), () -> {
             u.pause(forUs);
@@ -201,6 +207,7 @@
         private final double speed = 0.85 + 0.3 * chance.nextDouble();
         private final ArrayDeque<Work> waiting = new ArrayDeque<>();
         private Listed.Health health = Listed.Health.READY;
+        private final int zone = unitsEver % terms.zones;
         private long silentUntilUs;
         private int busy;
 
@@ -211,7 +218,7 @@
         }
 
         Listed listed() {
-            return new Listed(name, build, 0, 0, 0, health, startUs);
+            return new Listed(name, build, zone, 0, 0, health, startUs);
         }
 
         /** Stands still for a while: what it has and what comes waits. */
--- a/src/test/java/gatelock/fleet/FleetTest.java
+++ b/src/test/java/gatelock/fleet/FleetTest.java
@@ -119,6 +119,23 @@
         assertThat(fleet.records.inTime(fleet.nowUs() - 5 * S, fleet.nowUs() - 2 * S)).isGreaterThan(0.95);
     }
 
+    @ParameterizedTest
+    @CsvSource({"14, 1", "14, 2", "100, 1", "100, 2"})
+    void zoneThatFallsSilentIsLeftBeforeTheListSaysSo(int relays, long seed) {
+        Fleet.Terms terms = of(relays, seed);
+        terms.units = 60;
+        terms.reqsPerS = 200;
+        Fleet fleet = new Fleet(terms);
+        fleet.run(15 * S);
+        fleet.pauseZone(0, 8 * S);
+        fleet.run(8 * S);
+        assertThat(fleet.records.inTime(fleet.nowUs() - 5 * S, fleet.nowUs() - 2 * S))
+            .isGreaterThan(relays < 50 ? 0.93 : 0.84);
+        fleet.run(15 * S);
+        assertThat(fleet.records.inTime(fleet.nowUs() - 5 * S, fleet.nowUs() - 2 * S)).isGreaterThan(0.97);
+        assertThat(fleet.broken()).isEmpty();
+    }
+
     @Test
     void connectionsThatStandAreUsedWhereNewOnesHaveTheirPrice() {
         Fleet.Terms free = of(100, 7);
