--- /dev/null
+++ b/src/test/java/gatelock/wire/LateThread.java
@@ -0,0 +1,25 @@
+package gatelock.wire;
+
+import java.util.concurrent.CountDownLatch;
+
+/** An I/O thread that is late. */
+final class LateThread {
+    private LateThread() {
+    }
+
+    /** Holds the thread up, and returns once it is; it goes on as soon as the latch is down. */
+    static CountDownLatch hold(Turn turn) throws InterruptedException {
+        CountDownLatch held = new CountDownLatch(1);
+        CountDownLatch on = new CountDownLatch(1);
+        turn.soon(() -> {
+            held.countDown();
+            try {
+                on.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        held.await();
+        return on;
+    }
+}
--- a/src/test/java/gatelock/wire/LineTest.java
+++ b/src/test/java/gatelock/wire/LineTest.java
@@ -69,17 +69,7 @@
         call(party);
         try (Socket caller = party.accept()) {
             caller.getInputStream().read();
-            CountDownLatch held = new CountDownLatch(1);
-            CountDownLatch on = new CountDownLatch(1);
-            turn.soon(() -> {
-                held.countDown();
-                try {
-                    on.await();
-                } catch (InterruptedException e) {
-                    Thread.currentThread().interrupt();
-                }
-            });
-            held.await();
+            CountDownLatch on = LateThread.hold(turn);
             caller.getOutputStream().write(answer.getBytes(StandardCharsets.US_ASCII));
             Thread.sleep(2 * CALL_US / 1000);
             on.countDown();
