Only tries without an answer count as a zone's silence, failed connects do not

Units that refuse connections in one zone made it look gone, and the load of all fell on the other. A refused connect says that somebody is there.

--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -683,8 +683,8 @@
             if (!build.onTrial()) {
                 refused.add(nowUs, ending == Ending.NOT_CONNECTED ? 1 : 0);
             }
-            boolean silent = ending == Ending.NOT_CONNECTED || ending == Ending.TIMED_OUT;
-            if (ending != Ending.CANCELLED && !(silent && t.overdue)) {
+            boolean silent = ending == Ending.TIMED_OUT;
+            if (ending != Ending.CANCELLED && ending != Ending.NOT_CONNECTED && !(silent && t.overdue)) {
                 zones.add(nowUs, at.zone(), silent);
             }
             if (ending == Ending.COMPLETED) {
