Units that started since are not in a lost zone, and a lost zone is not most units looking bad

And with a zone of two lost and three of ten other units sick, over 60% of units look bad, so none was dropped (scenario).

--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -363,7 +363,8 @@
             // Guards against a zone cut off or gone before the list says so: all its units would be tried.
             // Could harm where its sick units had the few tries: a tenth still goes there.
             lostZones = zones.silent(nowUs, FEWEST_OF_ZONE, MOST, SICK_ERRORS);
-            someBad = ready.stream().filter(Unit::looksBad).count() <= MOST * ready.size();
+            List<Unit> there = ready.stream().filter(u -> !lostZones.contains(u.at.zone())).toList();
+            someBad = there.stream().filter(Unit::looksBad).count() <= MOST * there.size();
             weigh();
         } else if (token == ASK_LIST) {
             askSet = false;
@@ -762,7 +763,7 @@
         /** Guards against a unit that fails much or leaves tries overdue, whatever the cause. */
         private boolean looksBad() {
             double bad = failures.count(nowUs);
-            return lostZones.contains(at.zone()) || bad / (bad + slowness.count(nowUs) + 1) > SICK_ERRORS;
+            return lostZones.contains(at.zone()) && !cold() || bad / (bad + slowness.count(nowUs) + 1) > SICK_ERRORS;
         }
 
         /** Rules 3 and 5: nothing new to what leaves or came back as another, nor to a build not open. */
