A SIGHUP that comes while a process starts is kept until it can be followed

Cause: Main.serve set a handler that does nothing, read the configuration, and Service.start set the real one 0.3 to 0.5 s of processor time later. A SIGHUP in between was lost, and the process went by the old discovery address, which falls silent, for good: its list stays that of its configuration, and reqs go to units long after they were told to leave. Change: SIGHUP is taken first of all and kept until there is something to do for it; a start begins before it can leave. The test fails on the tree before (no call came in 60 s) and passes with the change.

--- a/src/main/java/gatelock/boot/Main.java
+++ b/src/main/java/gatelock/boot/Main.java
@@ -42,17 +42,16 @@
 
     /** Starts a relay; tells whether it runs, or why not. */
     static boolean serve(Service.Start how, Path operatorsFile) {
+        Hangup hangup = Hangup.taken();
         String file = System.getenv("PROXY_CONFIG");
         if (file == null) {
             System.err.println("gatelock: PROXY_CONFIG names no configuration");
             return false;
         }
-        // Until there is something to read anew for, a SIGHUP does nothing.
-        Hangup.means(() -> { });
         Path path = Path.of(file);
         try {
             Operator operator = operatorsFile == null ? null : Operator.read(operatorsFile);
-            Service.start(path, Configuration.read(path), operatorsFile, operator, how);
+            Service.start(path, Configuration.read(path), operatorsFile, operator, how, hangup);
             return true;
         } catch (IOException e) {
             System.err.println("gatelock: " + e.getMessage());
--- a/src/main/java/gatelock/boot/Service.java
+++ b/src/main/java/gatelock/boot/Service.java
@@ -69,8 +69,8 @@
     }
 
     /** @param operator what the operator's own file says, or null: all that it could name is off */
-    static void start(Path file, Configuration told, Path operatorsFile, Operator operator, Start how)
-            throws IOException {
+    static void start(Path file, Configuration told, Path operatorsFile, Operator operator, Start how,
+                      Hangup hangup) throws IOException {
         if (operator != null && (operator.jsonLog() || operator.logLevel() != null)) {
             LogOut.through(operator.jsonLog(), operator.logLevel());
         }
@@ -80,6 +80,8 @@
             .set(Options.STACK_SIZE, STACK_BYTES).set(Options.WORKER_NAME, "gatelock").getMap());
         Service service = new Service(file, told, operatorsFile, operator, how,
             new Turn(worker.getIoThread()));
+        // Before it can be told to leave, as whoever leaves must have begun.
+        service.turn.soon(service::run);
         CountDownLatch left = new CountDownLatch(1);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             service.turn.soon(() -> service.leave(left::countDown));
@@ -90,9 +92,8 @@
             }
             LOG.log(Level.INFO, "ends: " + service.counters);
         }, "leave"));
-        service.turn.soon(service::run);
         // A file is read on the worker's one task thread: one after the other, and never in the way of reqs.
-        Hangup.means(() -> worker.execute(service::readAnew));
+        hangup.means(() -> worker.execute(service::readAnew));
     }
 
     private void leave(Runnable then) {
--- a/src/test/java/gatelock/RelayTest.java
+++ b/src/test/java/gatelock/RelayTest.java
@@ -5,8 +5,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -458,6 +460,26 @@
         assertThat(all.log()).doesNotContain("unexpected");
     }
 
+    @Test
+    void aSighupThatComesWhileTheConfigurationIsReadForTheFirstTimeIsNotLost() throws Exception {
+        String first = Files.readString(all.config);
+        try (StandIns.Party moved = new StandIns.Party()) {
+            // The program reads a pipe, and so waits in the middle of its start for as long as is wanted.
+            Path pipe = Files.createTempDirectory("gatelock").resolve("configuration");
+            assertThat(new ProcessBuilder("mkfifo", pipe.toString()).start().waitFor()).isZero();
+            all.process = all.program(pipe.toString(), "serve", "cold");
+            try (OutputStream starts = Files.newOutputStream(pipe)) {
+                all.hangUp();
+                starts.write(first.getBytes(StandardCharsets.UTF_8));
+            }
+            StandIns.go(() -> Files.writeString(pipe, first.replace(all.discovery.address(), moved.address())));
+            assertThat(moved.next().head()).startsWith("GET /api/targets HTTP/1.1");
+            Files.delete(pipe);
+            Files.delete(pipe.getParent());
+        }
+        assertThat(all.log()).contains("SIGHUP, discovery at").doesNotContain("unexpected");
+    }
+
     @Test
     void spoiltWordsOfDiscoveryAndDeskChangeNothingAndEndTheirConnections() throws Exception {
         all.start();
