--- /dev/null
+++ b/src/test/java/gatelock/ci/package-info.java
@@ -0,0 +1,2 @@
+/** What CI asks beyond the tests themselves. */
+package gatelock.ci;
