A new process waits for its list, and a req waits half of its time for that at most

Cause: Service.LIST_WITHIN_US let a process serve by the list in its configuration 0.3 s after its rehearsal, and the rehearsal ends at once where clients of its earlier life come. That list is the one of the moment of SIGTERM, 2.5 s before. Ruled out: SIGHUP lost in a start (all 23 and 81 sent there arrived; none swallowed). Change: no req goes out before a list is heard, or a call fails 2 s after the first one: discovery is down then. Reqs that come earlier are taken and wait (plan.Arrivals); after half of their time they are shed, with a time to come back. Before, a held req was neither answered in its time nor seen to leave.

--- a/src/main/java/gatelock/boot/Chain.java
+++ b/src/main/java/gatelock/boot/Chain.java
@@ -34,6 +34,7 @@
     final Orders orders;
     final Gate gate;
     final TakeIn takeIn;
+    private final Admit admit;
     private final Turn turn;
     private final Configuration told;
     private final Counters counters;
@@ -63,10 +64,10 @@
         orders = new Orders(turn, open);
         gate = new ReleaseGate(told.charter(), orders);
         orders.bind(gate, routeOut, relayBack, book);
+        admit = new Admit(turn, open, counters, book, relayBack, gate, admission,
+            told.charter().pausesHeard() ? told.charter().longestPauseUs() : 0);
         takeIn = new TakeIn(counters, new TakeIn.Names(told.numbered("lanes"), told.numbered("orgs"),
-            told.charter().routes(), told.deadlinesUs()), turn,
-            new Admit(turn, open, counters, book, relayBack, gate, admission,
-                told.charter().pausesHeard() ? told.charter().longestPauseUs() : 0), front, admission);
+            told.charter().routes(), told.deadlinesUs()), turn, admit, front, admission);
         if (sessions != null) {
             takeIn.opensBy(new Upgrades(turn, counters, book, gate, sessions));
         }
@@ -89,18 +90,14 @@
         }
     }
 
-    /** Does this once the list has been heard of from discovery, or after that time with what is known. */
-    void whenListed(long withinUs, Runnable then) {
-        boolean[] done = new boolean[1];
-        Runnable once = () -> {
-            if (!done[0]) {
-                done[0] = true;
-                then.run();
-            }
-        };
-        discovery.whenHeard(once);
-        // A turn later, as what is due runs before what can be read: the list may lie there.
-        turn.in(withinUs, () -> turn.in(1_000, once));
+    /** Lets reqs go on to units, those that came early first; tells how many these are. */
+    int open() {
+        return admit.open();
+    }
+
+    /** Does this once a list has come from discovery, or it has been silent for so long. */
+    void whenListed(long silentUs, Runnable then) {
+        discovery.whenListed(silentUs, then);
     }
 
     /** Sessions whose turn has come leave. */
--- a/src/main/java/gatelock/boot/Rehearsal.java
+++ b/src/main/java/gatelock/boot/Rehearsal.java
@@ -41,11 +41,11 @@
     private final InetSocketAddress at;
     private final Turn turn;
     private final Front front;
-    private final Held held;
+    private final HttpHandler clients;
     private final Consumer<Rehearsal> then;
     private final Counters counters = new Counters();
     private final Chain chain;
-    private final Lines clients;
+    private final Lines own;
     private final String mark;
     private int asked;
     private int running;
@@ -53,23 +53,24 @@
 
     /**
      * @param at where this relay listens
-     * @param held takes the reqs that are not the rehearsal's own
+     * @param clients takes the reqs that are not the rehearsal's own
      */
-    Rehearsal(Configuration told, InetSocketAddress at, Turn turn, Front front, Held held,
+    Rehearsal(Configuration told, InetSocketAddress at, Turn turn, Front front, HttpHandler clients,
               Consumer<Rehearsal> then) {
-        this.held = held;
+        this.clients = clients;
         this.told = told;
         this.at = at;
         this.turn = turn;
         this.front = front;
         this.then = then;
         this.chain = new Chain(told, turn, counters, front, null, null);
-        this.clients = new Lines(turn, new Counters(), 1_000_000, 1_000_000, 0, AT_ONCE);
+        this.own = new Lines(turn, new Counters(), 1_000_000, 1_000_000, 0, AT_ONCE);
         this.mark = "rehearsal-" + Long.toHexString(told.charter().seed()) + "-";
     }
 
     void begin() {
         chain.gate.start(turn.nowUs());
+        chain.open();
         List<Listed> units = new ArrayList<>();
         for (int i = 0; i < UNITS; i++) {
             units.add(new Listed("rehearsal-" + i, i % 4 == 0 ? 1 : 0, i % 2, i % 2, 0, Listed.Health.READY,
@@ -116,7 +117,7 @@
         String id = exchange.getRequestHeaders().getFirst("X-Trace-Id");
         if (!mine(id)) {
             over = true;
-            held.handleRequest(exchange);
+            clients.handleRequest(exchange);
         } else if (chain.open.get(id) == null) {
             chain.takeIn.handleRequest(exchange);
         } else {
@@ -146,7 +147,7 @@
             + "X-Size-Hint: 2000\r\n" + (get ? "" : "Idempotency-Key: " + n + "\r\nContent-Length: 200\r\n")
             + "\r\n"
             + body;
-        clients.call(at, StandardCharsets.US_ASCII.encode(text), ONE_US,
+        own.call(at, StandardCharsets.US_ASCII.encode(text), ONE_US,
             new Line.User() {
                 @Override
                 public boolean answered(UnitAnswer answer) {
@@ -170,7 +171,7 @@
     private void end() {
         LOG.log(Level.INFO, "rehearsed " + asked + " reqs: " + counters);
         chain.orders.stop();
-        clients.stop();
+        own.stop();
         chain.units.stop();
         then.accept(this);
     }
--- a/src/main/java/gatelock/boot/Service.java
+++ b/src/main/java/gatelock/boot/Service.java
@@ -34,10 +34,12 @@
     private static final long SESSIONS_CLOSE_US = 1_400_000;
     private static final long SESSIONS_LOOK_US = 20_000;
     /**
-     * Guards against a list from before a restart: reqs sent by it go to units that have left long since.
-     * Discovery has so long to be heard of; could harm where it is down, as each start is later by this.
+     * Guards against a list from before a restart: what discovery has told since counts as told to a new process,
+     * and reqs sent by the old list go to units that left. Only after so long without a word, at the end of a call
+     * that had all of its time, is discovery taken to be down, and what is known serves. Could harm where it is
+     * down: each start is later by this, well within what a start may take.
      */
-    private static final long LIST_WITHIN_US = 300_000;
+    private static final long LIST_SILENT_US = 2_000_000;
     private static final long COUNTERS_EVERY_US = 60_000_000;
     private static final long STACK_BYTES = 256 * 1024;
 
@@ -45,7 +47,6 @@
     private final Start how;
     private final Turn turn;
     private final Counters counters = new Counters();
-    private final Held held;
     private final Path operatorsFile;
     private final Operator operator;
     private Configuration told;
@@ -65,7 +66,6 @@
         this.told = told;
         this.how = how;
         this.turn = turn;
-        this.held = new Held(turn);
     }
 
     /** @param operator what the operator's own file says, or null: all that it could name is off */
@@ -145,24 +145,24 @@
             switch (how) {
                 case COLD -> {
                     front.listen(told.listen());
-                    front.admit(held, false);
                     prepare();
-                    chain.whenListed(LIST_WITHIN_US, () -> serve(real -> real));
+                    front.admit(chain.takeIn, false);
+                    chain.whenListed(LIST_SILENT_US, () -> serve(real -> real));
                 }
                 case REHEARSED -> {
                     InetSocketAddress at = front.listen(told.listen());
                     // The list and the news are asked for at once, and known when the rehearsal ends.
                     prepare();
-                    new Rehearsal(told, at, turn, front, held, rehearsal -> {
-                        front.admit(rehearsal.before(held), false);
-                        chain.whenListed(LIST_WITHIN_US, () -> serve(rehearsal::before));
+                    new Rehearsal(told, at, turn, front, chain.takeIn, rehearsal -> {
+                        front.admit(rehearsal.before(chain.takeIn), false);
+                        chain.whenListed(LIST_SILENT_US, () -> serve(rehearsal::before));
                     }).begin();
                 }
                 case REHEARSAL_ONLY -> {
                     InetSocketAddress free = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
                     InetSocketAddress at = front.listen(free);
-                    new Rehearsal(told, at, turn, front, held, rehearsal -> new Thread(() -> System.exit(0))
-                        .start()).begin();
+                    new Rehearsal(told, at, turn, front, stranger -> stranger.setStatusCode(503),
+                        rehearsal -> new Thread(() -> System.exit(0)).start()).begin();
                 }
             }
         } catch (IOException e) {
@@ -187,7 +187,10 @@
     private void serve(UnaryOperator<HttpHandler> before) {
         HttpHandler takeIn = before.apply(chain.takeIn);
         front.admit(takeIn, steering == null);
-        held.goOn(front);
+        int early = chain.open();
+        if (early > 0) {
+            LOG.log(Level.INFO, "held until ready: " + early + " reqs");
+        }
         try {
             if (steering != null) {
                 steering.start(() -> front.admit(takeIn, true));
--- a/src/main/java/gatelock/wire/Admit.java
+++ b/src/main/java/gatelock/wire/Admit.java
@@ -4,6 +4,7 @@
 import gatelock.kept.OpenReq;
 import gatelock.kept.OpenReqs;
 import gatelock.plan.Admission;
+import gatelock.plan.Arrivals;
 import gatelock.plan.Waiting;
 import gatelock.relay.Bounds;
 import gatelock.relay.Gate;
@@ -25,6 +26,7 @@
     private final Gate gate;
     private final Admission admission;
     private final long longestPauseUs;
+    private final Arrivals<OpenReq> early = new Arrivals<>();
     private boolean looking;
 
     /**
@@ -73,7 +75,24 @@
         }
     }
 
+    /** From now on the decisions know where reqs may go; those that came before go first. Tells how many. */
+    public int open() {
+        return early.open();
+    }
+
     private void decide(OpenReq req, int route, int tenant, long key, long costUs, Bounds bounds) {
+        if (!early.isOpen()) {
+            long waitsUs = early.come(turn.nowUs(), req.endUs(), req,
+                () -> decide(req, route, tenant, key, costUs, bounds));
+            turn.in(waitsUs, () -> {
+                if (early.leave(req)) {
+                    counters.add("given up before listed");
+                    relayBack.shed(req, Math.min(longestPauseUs, waitsUs));
+                    book.settle(req);
+                }
+            });
+            return;
+        }
         long nowUs = turn.nowUs();
         req.taken(gate.take(nowUs, req.id(), route, tenant, key, Math.max(1, req.endUs() - nowUs), costUs,
             bounds));
@@ -132,6 +151,7 @@
     }
 
     void left(OpenReq req) {
+        early.leave(req);
         book.left(req);
     }
 }
--- a/src/main/java/gatelock/wire/Discovery.java
+++ b/src/main/java/gatelock/wire/Discovery.java
@@ -54,7 +54,9 @@
     private long index = -1;
     private boolean following;
     private boolean heard;
-    private Runnable whenHeard = () -> { };
+    private long askedFirstUs = Long.MIN_VALUE;
+    private long silentUs;
+    private Runnable whenListed;
     /** Why the last answer was not taken in; null: it was. The same again is not said again. */
     private String unread;
 
@@ -88,19 +90,23 @@
         }
     }
 
-    /** Does this once a list has come from discovery. */
-    public void whenHeard(Runnable then) {
+    /**
+     * Does this once a list has come from discovery, or once a call fails that long after the first: calls have
+     * all of their time, so that a thread that is late itself does not take discovery for silent.
+     */
+    public void whenListed(long silentUs, Runnable then) {
         if (heard) {
             then.run();
         } else {
-            whenHeard = then;
+            this.silentUs = silentUs;
+            whenListed = then;
         }
     }
 
-    private void heard() {
-        if (!heard) {
-            heard = true;
-            turn.soon(whenHeard);
+    private void listed() {
+        if (whenListed != null) {
+            turn.soon(whenListed);
+            whenListed = null;
         }
     }
 
@@ -119,6 +125,7 @@
         lines.close(address);
         address = to;
         index = -1;
+        askedFirstUs = Long.MIN_VALUE;
         if (following) {
             line.drop();
             if (again != null) {
@@ -130,6 +137,7 @@
 
     private void ask() {
         boolean watch = index >= 0;
+        askedFirstUs = askedFirstUs == Long.MIN_VALUE ? turn.nowUs() : askedFirstUs;
         String path = watch ? "/api/targets?from=" + index + "&hold_ms=" + HOLD_MS : "/api/targets";
         String call = "GET " + path + " HTTP/1.1\r\nHost: discovery\r\n\r\n";
         line = lines.call(address, StandardCharsets.US_ASCII.encode(call), GRACE_US + (watch ? HOLD_MS * 1000
@@ -158,7 +166,8 @@
             if (whole || !entries.isEmpty()) {
                 listed(whole ? Gate.ListForm.FULL : Gate.ListForm.DELTA, entries, whole);
             }
-            heard();
+            heard = true;
+            listed();
             return true;
         } catch (IOException e) {
             if (!e.getMessage().equals(unread)) {
@@ -172,6 +181,10 @@
 
     private void failed() {
         counters.add("discovery failed");
+        if (whenListed != null && turn.nowUs() - askedFirstUs >= silentUs) {
+            LOG.log(Level.WARNING, "discovery is silent, what the configuration lists serves");
+            listed();
+        }
         if (onRequest) {
             following = false;
             gate.listed(turn.nowUs(), Gate.ListForm.FAILED, List.of());
--- a/src/main/java/gatelock/wire/Front.java
+++ b/src/main/java/gatelock/wire/Front.java
@@ -4,7 +4,6 @@
 import gatelock.kept.Counters;
 
 import io.undertow.UndertowOptions;
-import io.undertow.server.Connectors;
 import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
@@ -156,11 +155,6 @@
         }
     }
 
-    /** Hands in a req that was held back, to whoever takes reqs in now. */
-    public void again(HttpServerExchange held) {
-        Connectors.executeRootHandler(takeIn, held);
-    }
-
     /** A req is whole: until it is answered, its connection stays. */
     void whole(HttpServerExchange exchange) {
         clients.whole(connection(exchange));
--- a/src/main/java/gatelock/wire/TakeIn.java
+++ b/src/main/java/gatelock/wire/TakeIn.java
@@ -16,7 +16,6 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.handlers.Cookie;
 import io.undertow.server.protocol.http.HttpServerConnection;
-import io.undertow.util.AttachmentKey;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
@@ -40,8 +39,6 @@
  * First stage: a client's req is read whole and checked for its form; the fields that matter are taken out.
  */
 public final class TakeIn implements HttpHandler {
-    /** When a req came that was held back before it got here, in microseconds: its time runs from then. */
-    public static final AttachmentKey<Long> CAME_US = AttachmentKey.create(Long.class);
     private static final int FIRST_CHUNKS = 1024;
     private static final int MOST_DIGITS = 9;
     private static final int MOST_ID = 256;
@@ -259,8 +256,7 @@
         String expires = headers.getFirst(EXPIRES);
         long routeUs = names.deadlinesUs.get(route);
         long waitsUs = expires == null ? routeUs : expiresMs(expires, routeUs) * 1000;
-        Long cameUs = exchange.getAttachment(CAME_US);
-        long endUs = Math.min((cameUs == null ? turn.nowUs() : cameUs) + waitsUs, front.answeredByUs());
+        long endUs = Math.min(turn.nowUs() + waitsUs, front.answeredByUs());
         Integer tenant = names.tenants.get(headers.getFirst(CUSTOMER));
         HttpCaller caller = new HttpCaller(exchange);
         OpenReq req = new OpenReq(id, head(exchange, body.length), body, endUs, caller);
