A late connection carries no repeat past its window and no req whose client has left

Cause: Rq.mayGo, asked when a connection has come up, looked at the unit only. A deduped repeat was checked against its window up to a second before its first byte, and a req whose client had left meanwhile went out. Also: news that were overtaken (a vote's answer read after newer news) set the state back; states come in one order now, and one before the newest counts only if it came to stand later, by its own age.

--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -15,7 +15,6 @@
  */
 public final class ReleaseGate implements Gate {
 
-    // ---- Tuned values ----
     private static final long SECOND = 1_000_000;
     private static final long BEAT_US = SECOND / 4; // overdue tries are looked for, a verdict is drawn
 
@@ -302,6 +301,12 @@
             voteNotBeforeUs = nowUs + REVOTE_US + chance.nextLong(REVOTE_US);
             return;
         }
+        boolean before = build < newest || build == newest && (phase.compareTo(this.phase) < 0
+            || phase == this.phase && stage < this.stage);
+        if (before && nowUs - agoUs <= stageFromUs) {
+            // Guards against a vote's answer that newer news on their own connection have overtaken.
+            return;
+        }
         boolean moved = build != newest || stage != this.stage || phase != this.phase;
         if (build != newest || moved && stands != Verdict.BACK) {
             stands = Verdict.NONE;
@@ -436,21 +441,15 @@
                 .filter(Objects::nonNull).findFirst().orElse(null);
         }
 
-        /** Whether every try so far is proven not to have run. */
         private boolean neverRan() {
             return tries.stream().allMatch(Try::neverRan);
         }
 
-        /** Rule 2: whether a further try may go to this unit. */
-        private boolean mayRepeatAt(Unit unit) {
-            if (route.repeat() == Route.Repeat.RETRIABLE || neverRan()) {
-                return true;
-            }
-            if (route.repeat() == Route.Repeat.NON_RETRIABLE) {
-                return false;
-            }
-            return tries.stream().allMatch(t -> t.neverRan()
-                || nowUs - t.sentUs < route.rememberUs() * 8 / 10 && switch (route.group()) {
+        /** Rule 2: whether a further try may go to this unit, after its first n tries. */
+        private boolean mayRepeatAt(Unit unit, int n) {
+            return route.repeat() == Route.Repeat.RETRIABLE || tries.stream().limit(n).allMatch(t ->
+                t.neverRan() || route.repeat() == Route.Repeat.DEDUPED
+                && nowUs - t.sentUs < route.rememberUs() * 8 / 10 && switch (route.group()) {
                     case ALL -> true;
                     case ZONE -> t.unit.at.zone() == unit.at.zone();
                     case CELL -> t.unit.at.cell() == unit.at.cell();
@@ -507,7 +506,7 @@
         @Override
         public boolean mayGo(long now, int tryNo) {
             clock(now);
-            return tries.get(tryNo).unit.mayGetNew();
+            return !over && tries.get(tryNo).unit.mayGetNew() && mayRepeatAt(tries.get(tryNo).unit, tryNo);
         }
 
         @Override
@@ -617,8 +616,8 @@
                 Unit u = ready.get(i);
                 boolean tryBad = rq.route.repeat() == Route.Repeat.RETRIABLE && rq.tries.isEmpty()
                     && chance.nextDouble() < TRY_BAD;
-                if (rq.bounds.reaches(u.at.unit()) && u.hasRoom(rq, claim) && rq.mayRepeatAt(u)
-                        && rq.tries.stream().noneMatch(t -> t.unit == u)
+                if (rq.bounds.reaches(u.at.unit()) && u.hasRoom(rq, claim)
+                        && rq.mayRepeatAt(u, rq.tries.size()) && rq.tries.stream().noneMatch(t -> t.unit == u)
                         && (!someBad || tryBad || !u.looksBad())) {
                     boolean open = few && u.connected();
                     boolean better = best == null || (few && open != best.connected() ? open
@@ -763,7 +762,8 @@
         /** Guards against a unit that fails much or leaves tries overdue, whatever the cause. */
         private boolean looksBad() {
             double bad = failures.count(nowUs);
-            return lostZones.contains(at.zone()) && !cold() || bad / (bad + slowness.count(nowUs) + 1) > SICK_ERRORS;
+            return lostZones.contains(at.zone()) && !cold()
+                || bad / (bad + slowness.count(nowUs) + 1) > SICK_ERRORS;
         }
 
         /** Rules 3 and 5: nothing new to what leaves or came back as another, nor to a build not open. */
--- a/src/main/java/gatelock/relay/Gate.java
+++ b/src/main/java/gatelock/relay/Gate.java
@@ -11,8 +11,8 @@
     /** What a list of units is: what changed, all there is, a remembered whole, or notice that none came. */
     enum ListForm { DELTA, FULL, CACHED, FAILED }
 
-    /** The state of the newest build at the release desk. */
-    enum Phase { TRIAL, REVERTING, RELEASED, WITHDRAWN }
+    /** The state of the newest build at the release desk, in the order in which a build comes to them. */
+    enum Phase { TRIAL, RELEASED, REVERTING, WITHDRAWN }
 
     /** How a vote was answered: {@code NOT_ASKED} marks news that answers no vote. */
     enum VoteAnswer { NOT_ASKED, COUNTED, MOOT, BUSY, ERROR, TIMED_OUT }
--- a/src/test/java/gatelock/ScenariosTest.java
+++ b/src/test/java/gatelock/ScenariosTest.java
@@ -93,6 +93,7 @@
                 case "answer" -> gate().news(nowUs, 0, 0, Gate.Phase.TRIAL, 0, 0,
                     Gate.VoteAnswer.valueOf(w[1].toUpperCase()));
                 case "take" -> take(w[1], named);
+                case "leave" -> reqs.get(w[1]).concluded(nowUs);
                 case "end" -> end(w[1], Ending.valueOf(w[2].toUpperCase()), named);
                 case "unit" -> manners.computeIfAbsent(w[1], u -> new HashMap<>()).putAll(named);
                 case "flow" -> flow(named);
