An answer before its req is whole answers nothing

Line.read took a whole answer for the req's own though the req had not been written whole; a unit begins one only then, so it belongs to another or to none. It is unreadable now, and the req never ran. LineTest.anAnswerBeforeTheCallIsWholeAnswersNothing fails on the tree before (answered early).

--- a/src/main/java/gatelock/wire/Line.java
+++ b/src/main/java/gatelock/wire/Line.java
@@ -175,6 +175,10 @@
                 }
                 in.flip();
                 reader.read(in);
+                if (reader.whole() && !written) {
+                    // What answers a call that has not come whole answers another, or none.
+                    throw new UnreadableAnswer("an answer before the call was whole");
+                }
                 if (reader.whole()) {
                     finish(reader.lasting() && written && !in.hasRemaining());
                     return;
--- a/src/test/java/gatelock/wire/LineTest.java
+++ b/src/test/java/gatelock/wire/LineTest.java
@@ -49,7 +49,7 @@
 
         @Override
         public void broken(boolean written) {
-            heard.add("broken");
+            heard.add(written ? "broken" : "broken, not written");
         }
 
         @Override
@@ -93,6 +93,23 @@
         }
     }
 
+    @Test
+    void anAnswerBeforeTheCallIsWholeAnswersNothing() throws Exception {
+        try (ServerSocket party = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            InetSocketAddress at = new InetSocketAddress(InetAddress.getLoopbackAddress(), party.getLocalPort());
+            // More than the system takes at once from one that nobody reads from.
+            ByteBuffer large = ByteBuffer.allocate(64 * 1024 * 1024);
+            turn.soon(() -> new Lines(turn, new Counters(), 1_000_000, 4_000_000, 0, 8).call(at, large, 20_000_000,
+                new Hears()));
+            try (Socket caller = party.accept()) {
+                caller.getInputStream().read();
+                caller.getOutputStream().write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nearly"
+                    .getBytes(StandardCharsets.US_ASCII));
+                assertThat(heard.poll(20, TimeUnit.SECONDS)).isEqualTo("broken, not written");
+            }
+        }
+    }
+
     @Test
     void silenceIsLateOnce() throws Exception {
         try (ServerSocket party = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
