Settings are checked at the start: place, what is there, what mends it

What a relay can't serve without is demanded, numbers have ranges, and what may be left out has a meaning.

--- a/src/main/java/gatelock/bench/Terms.java
+++ b/src/main/java/gatelock/bench/Terms.java
@@ -14,6 +14,8 @@
  * the safe side.
  */
 public final class Terms {
+    /** How long a connection is kept where nothing says when a unit closes it. */
+    private static final long FOR_GOOD_US = Long.MAX_VALUE / 4;
     private final Map<String, String> pairs;
 
     private Terms(Map<String, String> pairs) {
@@ -62,13 +64,14 @@
             "each_class".equals(t.pairs.get("familyInfo.capScope")), t.yes("familyInfo.forwardOnly"),
             t.real("familyInfo.free", 0), (int) t.whole("familyInfo.toAbort", 1),
             t.real("familyInfo.apiRate", 1), t.whole("familyInfo.tallyNs", 0) > 0);
+        long idleUs = t.us("limits.connIdleNs");
         long warmNs = t.whole("safety.warmWithinNs", 0);
         return new Charter(seed, (int) t.whole("replicasOfMe", 1), (int) t.whole("me", -1), routes, tenants,
             t.real("overShareWorth", 1), (int) t.whole("limits.tryLimit", 1), t.yes("limits.mayCancel"),
             t.yes("limits.retryAfter"), t.us("limits.maxRetryAfterNs"),
             "on_request".equals(t.pairs.get("discovery")), t.real("safety.coldFrom", 1),
             (warmNs + 999) / 1000, t.real("safety.overloadFactor", 1), t.us("safety.fallNs"),
-            t.real("costs.handshake", 0), t.us("limits.connIdleNs") * 3 / 4, rollout);
+            t.real("costs.handshake", 0), idleUs > 0 ? idleUs * 3 / 4 : FOR_GOOD_US, rollout);
     }
 
     /** One time, in microseconds; 0 where it is absent. */
--- a/src/main/java/gatelock/boot/Configuration.java
+++ b/src/main/java/gatelock/boot/Configuration.java
@@ -48,17 +48,18 @@
         Json deployer = all.object("deployer");
         Map<String, String> settings = new HashMap<>();
         flatten("", all.object("settings").fields(), settings);
+        Demands.check(settings);
         Charter charter = Terms.read(seed(all.text("seed")), settings);
-        if (charter.routes().isEmpty()) {
-            throw new IOException("expected routes in the settings");
-        }
         List<Long> deadlinesUs = new ArrayList<>();
         for (int i = 0; i < charter.routes().size(); i++) {
             deadlinesUs.add(Terms.us(settings, "lanes." + i + ".deadlineNs"));
         }
+        // Where no time for a connection to come up is set, that of the longest req bounds it.
+        long openUs = Terms.us(settings, "limits.dialTimeoutNs");
+        long longestUs = deadlinesUs.stream().mapToLong(Long::longValue).max().orElseThrow();
         return new Configuration(all.text("name"), all.address("listen"), all.address("discovery"),
             deployer.address("address"), all.object("limits").count("sockets"), all.object("known"),
-            deployer.object("news"), charter, Terms.us(settings, "limits.dialTimeoutNs"),
+            deployer.object("news"), charter, openUs > 0 ? openUs : longestUs,
             deadlinesUs, settings);
     }
 
