A move of discovery is found without SIGHUP once the old address fails

Need: a SIGHUP that came to nobody (a process that leaves or has just begun, one lost on its way) left a relay with an address that falls silent, deaf for good. Where a call for the list fails, the configuration is read again, once a second at most, and followed if it names another address. Test: EndingsTest.aMoveOfDiscoveryIsFoundWithoutSighupOnceTheOldOneIsSilent, fails without the change (no call comes).

--- a/src/main/java/gatelock/boot/Chain.java
+++ b/src/main/java/gatelock/boot/Chain.java
@@ -100,6 +100,11 @@
         discovery.whenListed(silentUs, then);
     }
 
+    /** Does this each time discovery has failed. */
+    void whenFailed(Runnable then) {
+        discovery.whenFailed(then);
+    }
+
     /** Sessions whose turn has come leave. */
     private void look() {
         sessions.due(turn.nowUs());
--- a/src/main/java/gatelock/boot/Service.java
+++ b/src/main/java/gatelock/boot/Service.java
@@ -40,6 +40,7 @@
      * down: each start is later by this, well within what a start may take.
      */
     private static final long LIST_SILENT_US = 2_000_000;
+    private static final long LOOK_EVERY_US = 1_000_000;
     private static final long COUNTERS_EVERY_US = 60_000_000;
     private static final long STACK_BYTES = 256 * 1024;
 
@@ -54,6 +55,7 @@
     private Chain chain;
     private Steering steering;
     private Sessions sessions;
+    private long lookedUs = Long.MIN_VALUE / 2;
 
     /** With a rehearsal, without, or nothing but one on a free port. */
     enum Start { REHEARSED, COLD, REHEARSAL_ONLY }
@@ -121,14 +123,39 @@
         try {
             Configuration now = Configuration.read(file);
             Operator operatorNow = operator == null ? null : Operator.read(operatorsFile);
-            turn.soon(() -> move(now, operatorNow));
+            turn.soon(() -> move("SIGHUP", now, operatorNow));
         } catch (IOException e) {
             LOG.log(Level.WARNING, "SIGHUP, what was in force stays: " + e.getMessage());
         }
     }
 
-    private void move(Configuration now, Operator operatorNow) {
-        LOG.log(Level.INFO, "SIGHUP, discovery at " + now.discovery() + ", release desk at " + now.desk()
+    /**
+     * Discovery has failed: its address may have moved. Guards against a SIGHUP that never came or came to nobody:
+     * a process that leaves or has just begun, one that was lost on its way. Could harm where a file is changed
+     * well before its SIGHUP: then it may be followed sooner.
+     */
+    private void lookAgain() {
+        if (turn.nowUs() - lookedUs < LOOK_EVERY_US) {
+            return;
+        }
+        lookedUs = turn.nowUs();
+        turn.aside(() -> {
+            try {
+                return Configuration.read(file);
+            } catch (IOException e) {
+                LOG.log(Level.DEBUG, "discovery fails, and so does the configuration: " + e.getMessage());
+                return null;
+            }
+        }, null, now -> {
+            if (now != null && !now.discovery().equals(told.discovery())) {
+                counters.add("moves found without SIGHUP");
+                move("discovery failed", now, null);
+            }
+        });
+    }
+
+    private void move(String why, Configuration now, Operator operatorNow) {
+        LOG.log(Level.INFO, why + ", discovery at " + now.discovery() + ", release desk at " + now.desk()
             + (told.sameTerms(now) ? "" : "; name, listen, limits and settings stay until a restart"));
         told = told.movedTo(now);
         if (chain != null) {
@@ -182,6 +209,7 @@
         chain = new Chain(told, turn, counters, front, steering == null ? null : steering.admission,
             sessions);
         chain.start();
+        chain.whenFailed(this::lookAgain);
     }
 
     private void serve(UnaryOperator<HttpHandler> before) {
--- a/src/main/java/gatelock/wire/Discovery.java
+++ b/src/main/java/gatelock/wire/Discovery.java
@@ -57,6 +57,7 @@
     private long askedFirstUs = Long.MIN_VALUE;
     private long silentUs;
     private Runnable whenListed;
+    private Runnable whenFailed = () -> { };
     /** Why the last answer was not taken in; null: it was. The same again is not said again. */
     private String unread;
 
@@ -103,6 +104,11 @@
         }
     }
 
+    /** Does this each time a call has failed. */
+    public void whenFailed(Runnable then) {
+        whenFailed = then;
+    }
+
     private void listed() {
         if (whenListed != null) {
             turn.soon(whenListed);
@@ -181,6 +187,7 @@
 
     private void failed() {
         counters.add("discovery failed");
+        whenFailed.run();
         if (whenListed != null && turn.nowUs() - askedFirstUs >= silentUs) {
             LOG.log(Level.WARNING, "discovery is silent, what the configuration lists serves");
             listed();
--- a/src/test/java/gatelock/EndingsTest.java
+++ b/src/test/java/gatelock/EndingsTest.java
@@ -271,6 +271,27 @@
         assertThat(all.unit.calls).isEmpty();
     }
 
+    @Test
+    void aMoveOfDiscoveryIsFoundWithoutSighupOnceTheOldOneIsSilent() throws Exception {
+        all.startUnlisted();
+        tell(all.discovery.next(), 7, all.unit);
+        assertThat(all.discovery.next().head()).startsWith("GET /api/targets?from=7&");
+        String first = Files.readString(all.config);
+        try (StandIns.Party moved = new StandIns.Party()) {
+            Files.writeString(all.config, first.substring(0, first.length() / 2));
+            // The watch fails, and the file can't be read: what was in force stays.
+            StandIns.Came again = all.discovery.next();
+            Files.writeString(all.config, first.replace(all.discovery.address(), moved.address()));
+            again.socket().close();
+            tell(moved.next(), 1, all.other);
+            try (Socket client = all.connect()) {
+                served(client, "POST /claim", "moved", all.other);
+            }
+        }
+        assertThat(all.unit.calls).isEmpty();
+        assertThat(all.log()).contains("discovery failed, discovery at").doesNotContain("unexpected");
+    }
+
     @Test
     void afterAMoveTheOldDiscoveryIsNotHeardAnyMore() throws Exception {
         all.startUnlisted();
