--- a/src/test/java/gatelock/EndingsTest.java
+++ b/src/test/java/gatelock/EndingsTest.java
@@ -19,8 +19,6 @@
  * docs/design/endings.md.
  */
 final class EndingsTest {
-    private static final String LIST = "{\"index\":%d,\"snapshot\":true,\"endpoints\":[{\"name\":\"%s\","
-        + "\"address\":\"%s\",\"status\":\"in_service\",\"since_ms\":0,\"image_id\":1}]}";
     private StandIns all;
 
     @BeforeEach
@@ -33,10 +31,6 @@
         all.close();
     }
 
-    private void tell(StandIns.Came asked, int index, StandIns.Party at) throws IOException {
-        asked.answer("200 OK", "", String.format(LIST, index, "u" + index, at.address()));
-    }
-
     /** Everything that came before this has been dealt with once the relay answers it, on a connection of its own. */
     private void relayHasTurned() throws Exception {
         for (int i = 0; i < 2; i++) {
@@ -63,7 +57,7 @@
             "\"dialTimeoutNs\": 20000000000"));
         try (StandIns.Party late = StandIns.Party.thatAcceptsLater()) {
             all.startUnlisted();
-            tell(all.discovery.next(), 1, late);
+            StandIns.tell(all.discovery.next(), 1, late);
             all.discovery.next();
             Socket leaving = all.connect();
             ask(leaving, "POST /claim", "left", "X-Expires-In-Ms: 20000\r\n", "x");
@@ -230,7 +224,7 @@
             }
             relayHasTurned();
             all.process.destroy();
-            tell(asked, 1, late);
+            StandIns.tell(asked, 1, late);
             all.discovery.next();
             late.accept();
             for (int i = 0; i < 2; i++) {
@@ -253,7 +247,7 @@
     @Test
     void aWatchThatFallsSilentOrStopsHalfwayIsOpenedAnewFromWhereItStood() throws Exception {
         all.startUnlisted();
-        tell(all.discovery.next(), 7, all.unit);
+        StandIns.tell(all.discovery.next(), 7, all.unit);
         for (String half : new String[] {"", "HTTP/1.1 200 OK\r\nContent-Length: 400\r\n\r\n{\"index\":9,"}) {
             StandIns.Came watch = all.discovery.next();
             assertThat(watch.head()).startsWith("GET /api/targets?from=7&");
@@ -263,7 +257,7 @@
         StandIns.Came again = all.discovery.next();
         assertThat(again.head()).startsWith("GET /api/targets?from=7&");
         // An index that goes back is another life of discovery: what it says now holds.
-        tell(again, 2, all.other);
+        StandIns.tell(again, 2, all.other);
         assertThat(all.discovery.next().head()).startsWith("GET /api/targets?from=2&");
         try (Socket client = all.connect()) {
             served(client, "POST /claim", "moved", all.other);
@@ -274,7 +268,7 @@
     @Test
     void aMoveOfDiscoveryIsFoundWithoutSighupOnceTheOldOneIsSilent() throws Exception {
         all.startUnlisted();
-        tell(all.discovery.next(), 7, all.unit);
+        StandIns.tell(all.discovery.next(), 7, all.unit);
         assertThat(all.discovery.next().head()).startsWith("GET /api/targets?from=7&");
         String first = Files.readString(all.config);
         try (StandIns.Party moved = new StandIns.Party()) {
@@ -283,7 +277,7 @@
             StandIns.Came again = all.discovery.next();
             Files.writeString(all.config, first.replace(all.discovery.address(), moved.address()));
             again.socket().close();
-            tell(moved.next(), 1, all.other);
+            StandIns.tell(moved.next(), 1, all.other);
             try (Socket client = all.connect()) {
                 served(client, "POST /claim", "moved", all.other);
             }
@@ -295,14 +289,14 @@
     @Test
     void afterAMoveTheOldDiscoveryIsNotHeardAnyMore() throws Exception {
         all.startUnlisted();
-        tell(all.discovery.next(), 7, all.unit);
+        StandIns.tell(all.discovery.next(), 7, all.unit);
         StandIns.Came watch = all.discovery.next();
         try (StandIns.Party moved = new StandIns.Party()) {
             Files.writeString(all.config, Files.readString(all.config).replace(all.discovery.address(), moved.address()));
             all.hangUp();
             StandIns.Came asked = moved.next();
             assertThat(all.discovery.ended.poll(20, TimeUnit.SECONDS)).isSameAs(watch.socket());
-            tell(asked, 1, all.other);
+            StandIns.tell(asked, 1, all.other);
             assertThat(moved.next().head()).startsWith("GET /api/targets?from=1&");
             try (Socket client = all.connect()) {
                 served(client, "POST /claim", "moved", all.other);
--- a/src/test/java/gatelock/RelayTest.java
+++ b/src/test/java/gatelock/RelayTest.java
@@ -570,8 +570,7 @@
     @Test
     void aReqThatComesDuringTheRehearsalIsAnsweredByAUnit() throws Exception {
         all.process = all.program(all.config.toString(), "serve");
-        StandIns.go(() -> all.discovery.next().answer("200 OK", "", "{\"index\":5,\"snapshot\":true,\"endpoints\":["
-            + String.format(ENTRY, "a", all.unit.address(), "in_service") + "]}"));
+        StandIns.go(() -> StandIns.tell(all.discovery.next(), 5, all.unit));
         for (int i = 0; i < 4; i++) {
             try (Socket client = all.connectSoon()) {
                 boolean post = i % 2 == 1;
@@ -591,10 +590,7 @@
         all.process = all.program(all.config.toString(), "serve", "cold");
         try (Socket client = all.connectSoon()) {
             ask(client, "GET /read", "before", "", "");
-            String entry = "{\"name\":\"a\",\"address\":\"" + all.other.address()
-                + "\",\"status\":\"in_service\",\"since_ms\":0,\"image_id\":1}";
-            all.discovery.next().answer("200 OK", "",
-                "{\"index\":5,\"snapshot\":true,\"endpoints\":[" + entry + "]}");
+            StandIns.tell(all.discovery.next(), 5, all.other);
             all.other.next().answer("200 OK", "", "there");
             assertThat(read(client).body()).isEqualTo("there");
         }
@@ -610,8 +606,7 @@
             // Asked again: the first call had all of its time, and the unit in the configuration heard nothing.
             StandIns.Came again = all.discovery.next();
             assertThat(all.unit.calls).isEmpty();
-            again.answer("200 OK", "", "{\"index\":5,\"snapshot\":true,\"endpoints\":[" + String.format(ENTRY, "a",
-                all.other.address(), "in_service") + "]}");
+            StandIns.tell(again, 5, all.other);
             all.other.next().answer("200 OK", "", "there");
             assertThat(read(client).body()).isEqualTo("there");
             unanswered.socket().close();
@@ -632,8 +627,7 @@
             leaving.close();
             ask(client, "POST /claim", "stays", "X-Expires-In-Ms: 20000\r\n", "x");
             whole.socket().close();
-            all.discovery.next().answer("200 OK", "", "{\"index\":5,\"snapshot\":true,\"endpoints\":["
-                + String.format(ENTRY, "a", all.unit.address(), "in_service") + "]}");
+            StandIns.tell(all.discovery.next(), 5, all.unit);
             StandIns.Came at = all.unit.next();
             assertThat(at.header("X-Trace-Id")).isEqualTo("stays");
             at.answer("200 OK", "", "served");
@@ -653,8 +647,7 @@
             }
             StandIns.Came asked = all.discovery.next();
             assertThat(all.unit.calls).isEmpty();
-            asked.answer("200 OK", "", "{\"index\":5,\"snapshot\":true,\"endpoints\":[" + String.format(ENTRY, "a",
-                all.other.address(), "in_service") + "]}");
+            StandIns.tell(asked, 5, all.other);
             all.other.next().answer("200 OK", "", "there");
             assertThat(read(client).body()).isEqualTo("there");
         }
--- a/src/test/java/gatelock/StandIns.java
+++ b/src/test/java/gatelock/StandIns.java
@@ -214,6 +214,13 @@
         return Files.readString(log);
     }
 
+    /** Answers a call for the list: one unit there is, at that party. */
+    static void tell(Came asked, int index, Party at) throws IOException {
+        asked.answer("200 OK", "", String.format("{\"index\":%d,\"snapshot\":true,\"endpoints\":[{\"name\":\"u%d\","
+            + "\"address\":\"%s\",\"status\":\"in_service\",\"since_ms\":0,\"image_id\":1}]}", index, index,
+            at.address()));
+    }
+
     /** Sends SIGHUP to the program. */
     void hangUp() throws Exception {
         signal("HUP");
