--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo test lint run measure-plan measure-swarm measure-sessions measure-fleet
+.PHONY: build demo test lint run measure-plan measure-swarm measure-sessions measure-fleet measure-membership
 
 build:
 	mvn -B -q -DskipTests package
@@ -38,3 +38,13 @@
 measure-fleet:
 	mvn -B -q -DskipTests package dependency:build-classpath -Dmdep.outputFile=target/test.classpath
 	java -cp "target/classes:target/test-classes:$$(cat target/test.classpath)" gatelock.fleet.Rates 20
+
+# Options for a relay's units side by side and what a scope costs: the tables of docs/measurements/membership.md and
+# the slopes of docs/capacity/membership.json. Then the whole list in the memory that a relay has.
+measure-membership:
+	mvn -B -q -DskipTests package dependency:build-classpath -Dmdep.outputFile=target/test.classpath
+	java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xmx1g \
+		-cp "target/classes:target/test-classes:$$(cat target/test.classpath)" gatelock.membership.ScopeMeasure \
+		docs/capacity/membership.json "$$(date -u +%Y-%m-%dT%H:%M:%SZ)-$$(git rev-parse --short HEAD)"
+	java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xms96m -Xmx96m -Xmn64m \
+		-cp "target/classes:target/test-classes:$$(cat target/test.classpath)" gatelock.membership.ScopeMeasure fit
--- /dev/null
+++ b/src/main/java/gatelock/membership/Entry.java
@@ -0,0 +1,33 @@
+package gatelock.membership;
+
+import gatelock.relay.Listed;
+
+import java.util.Map;
+
+/**
+ * One unit as a list names it, with all that a relay needs to use it.
+ *
+ * @param service whose reqs it serves; "" where the list tells none
+ * @param address as the list gives it; told back the same
+ * @param startUs its latest start, 0 for long past
+ * @param labels what plans may choose units by; each costs its bytes in the store
+ */
+public record Entry(String name, String service, String address, int zone, int kind, int cell, int build,
+                    Listed.Health health, long startUs, Map<String, String> labels) {
+
+    /** A unit without labels. */
+    public Entry(String name, String service, String address, int zone, int kind, int cell, int build,
+                 Listed.Health health, long startUs) {
+        this(name, service, address, zone, kind, cell, build, health, startUs, Map.of());
+    }
+
+    /** As the decisions take it. */
+    public Listed listed() {
+        return new Listed(name, build, zone, kind, cell, health, startUs);
+    }
+
+    Entry gone() {
+        return new Entry(name, service, address, zone, kind, cell, build, Listed.Health.GONE, startUs,
+            labels);
+    }
+}
--- /dev/null
+++ b/src/test/java/gatelock/membership/ScopePropertiesTest.java
@@ -0,0 +1,262 @@
+package gatelock.membership;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import gatelock.relay.Listed;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.Predicate;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+import java.util.stream.Collectors;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+/** What must hold of a scope whatever the course of lists, changes, silences and time. */
+final class ScopePropertiesTest {
+    private static final long LOOK_US = 250_000;
+    private static final int UNITS = 40;
+    private static final int SERVICES = 5;
+
+    private final Map<String, Entry> list = new TreeMap<>();
+    private final Set<String> silent = new HashSet<>();
+    private RandomGenerator random;
+    private Scope.Terms terms;
+    private Told told;
+
+    private void begin(long seed, boolean roomy, boolean colliding) {
+        random = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
+        int perService = 1 + random.nextInt(4);
+        int most = roomy ? UNITS * 2 : 1 + random.nextInt(2 * SERVICES);
+        terms = Told.terms(random.nextInt(5_700), random.nextInt(4) - 1, most, perService,
+            random.nextInt(3), random.nextInt(3_000_000));
+        told = new Told(fresh(colliding));
+        list.clear();
+        silent.clear();
+    }
+
+    private Scope fresh(boolean colliding) {
+        return new Scope(terms, colliding ? new StoreTest.Colliding(terms.relay(), 3) :
+            new Ranking(terms.relay()));
+    }
+
+    private Entry any() {
+        int n = random.nextInt(UNITS);
+        Listed.Health health = random.nextInt(4) > 0 ? Listed.Health.READY :
+            Listed.Health.values()[random.nextInt(3)];
+        String service = "s" + (random.nextInt(20) > 0 ? n % SERVICES : random.nextInt(SERVICES));
+        return new Entry("u" + n, service, "10.0.0." + n + ":80", random.nextInt(20) > 0 ? n % 3 :
+            random.nextInt(3),
+            n % 2, 0, 1 + random.nextInt(2), health, random.nextInt(3) * 1000L);
+    }
+
+    private void note(Entry e) {
+        if (e.health() == Listed.Health.GONE) {
+            list.remove(e.name());
+        } else {
+            list.put(e.name(), e);
+        }
+    }
+
+    private void wholeList() {
+        Map<String, Entry> entries = new TreeMap<>();
+        for (int n = random.nextInt(2 * UNITS); n > 0; n--) {
+            Entry e = any();
+            entries.put(e.name(), e);
+        }
+        list.clear();
+        entries.values().forEach(this::note);
+        told.whole(entries.values());
+        assertThat(told.last.whole()).isTrue();
+    }
+
+    private void change() {
+        List<Entry> entries = new ArrayList<>();
+        for (int n = 1 + random.nextInt(6); n > 0; n--) {
+            entries.add(any());
+        }
+        if (random.nextInt(10) == 0) {
+            // A zone or a service's units, all at once.
+            Predicate<Entry> lost = random.nextBoolean() ? e -> e.zone() == random.nextInt(3)
+                : e -> e.service().equals("s" + random.nextInt(SERVICES));
+            list.values().stream().filter(lost).forEach(e -> entries.add(random.nextBoolean() ? e.gone()
+                : Told.unit(e.name(), e.service(), e.zone(), Listed.Health.DRAINING)));
+        }
+        entries.forEach(this::note);
+        told.take(false, entries);
+        assertThat(told.last.whole()).isFalse();
+    }
+
+    private void dropped() {
+        int before = told.scope.listed();
+        Scope.Reading reading = told.scope.read(random.nextBoolean());
+        Set<String> names = new HashSet<>();
+        for (int n = random.nextInt(UNITS); n > 0; n--) {
+            Entry e = any();
+            if (names.add(e.name())) {
+                reading.add(e);
+            }
+        }
+        assertThat(told.scope.listed()).isEqualTo(before);
+    }
+
+    private void tries() {
+        for (String unit : told.ready()) {
+            if (random.nextInt(3) > 0) {
+                told.ended(unit, !silent.contains(unit));
+            }
+        }
+    }
+
+    private void step() {
+        switch (random.nextInt(8)) {
+            case 0 -> wholeList();
+            case 1, 2, 3 -> change();
+            case 4 -> dropped();
+            case 5 -> {
+                silent.clear();
+                random.ints(random.nextInt(UNITS), 0, UNITS).forEach(n -> silent.add("u" + n));
+            }
+            case 6 -> tries();
+            default -> told.due(random.nextInt(1_500_000));
+        }
+    }
+
+    private Map<String, Set<String>> readyByService(Collection<Entry> entries) {
+        return entries.stream().filter(e -> e.health() == Listed.Health.READY).collect(Collectors.groupingBy(
+            Entry::service, TreeMap::new, Collectors.mapping(Entry::name,
+            Collectors.toCollection(TreeSet::new))));
+    }
+
+    private void check() {
+        assertThat(told.scope.listed()).isEqualTo(list.size());
+        assertThat(told.scope.services()).isEqualTo((int) list.values().stream().map(Entry::service)
+            .distinct().count());
+        assertThat(told.scope.inScope()).isEqualTo(told.units.size()).isLessThanOrEqualTo(terms.most());
+        // What was told is what is listed: drains, restarts and ends in scope at once.
+        told.units.forEach((name, e) -> assertThat(e).isEqualTo(list.get(name)));
+        Map<String, Set<String>> listed = readyByService(list.values());
+        Map<String, Set<String>> used = readyByService(told.units.values());
+        int without = 0;
+        for (String service : listed.keySet()) {
+            int its = used.getOrDefault(service, Set.of()).size();
+            int wanted = Math.min(listed.get(service).size(), told.scope.aim());
+            without += its == 0 ? 1 : 0;
+            assertThat(its).as("units of " + service).isGreaterThanOrEqualTo(wanted);
+        }
+        int crowded = Math.max(0, listed.size() - terms.most());
+        assertThat(without).isEqualTo(crowded);
+        assertThat(told.scope.crowdedOut()).isEqualTo(crowded);
+    }
+
+    @Property(tries = 400)
+    void tellsWhatIsListedWithinTheBoundAndLeavesNoServiceWithoutAUnit(@ForAll long seed,
+        @ForAll boolean roomy,
+                                                                       @ForAll boolean colliding) {
+        begin(seed, roomy, colliding);
+        for (int i = 0; i < 120; i++) {
+            step();
+            check();
+        }
+    }
+
+    /** All are heard again and time passes. */
+    private void heal() {
+        silent.clear();
+        for (int i = 0; i < 3; i++) {
+            told.ready().forEach(u -> told.ended(u, true));
+            told.due(terms.settleUs() + LOOK_US);
+            check();
+        }
+    }
+
+    @Property(tries = 400)
+    void comesBackToWhatAFreshRelayWouldUse(@ForAll long seed, @ForAll boolean colliding) {
+        begin(seed, true, colliding);
+        for (int i = 0; i < 80; i++) {
+            step();
+        }
+        heal();
+        Told other = new Told(fresh(colliding));
+        other.whole(list.values());
+        assertThat(told.ready()).isEqualTo(other.ready());
+        int before = told.told;
+        for (int i = 0; i < 20; i++) {
+            told.ready().forEach(u -> told.ended(u, true));
+            told.due(LOOK_US);
+        }
+        assertThat(told.told).as("entries told while nothing happens").isEqualTo(before);
+    }
+
+    @Property(tries = 300)
+    void findsAUnitThatAnswersWhereverItIsAndThenRests(@ForAll long seed, @ForAll boolean roomy) {
+        begin(seed, roomy, false);
+        for (int i = 0; i < 40; i++) {
+            step();
+        }
+        silent.clear();
+        Map<String, Set<String>> ready = readyByService(list.values());
+        ready.values().forEach(its -> {
+            List<String> in = new ArrayList<>(its);
+            String well = in.get(random.nextInt(in.size()));
+            in.stream().filter(u -> !u.equals(well)).forEach(silent::add);
+        });
+        if (ready.size() > terms.most()) {
+            return;
+        }
+        for (int i = 0; i < 2 * UNITS; i++) {
+            told.ready().forEach(u -> told.ended(u, !silent.contains(u)));
+            told.due(LOOK_US);
+            check();
+        }
+        ready.forEach((service, its) -> assertThat(told.ready(service)).as(service)
+            .anyMatch(u -> !silent.contains(u)));
+        if (roomy) {
+            told.due(2 * terms.settleUs());
+            told.due(LOOK_US);
+            int before = told.told;
+            for (int i = 0; i < 40; i++) {
+                told.ready().forEach(u -> told.ended(u, !silent.contains(u)));
+                told.due(LOOK_US);
+            }
+            assertThat(told.told).as("entries told while nothing new happens").isEqualTo(before);
+        }
+    }
+
+    @Property(tries = 200)
+    void aUnitThatComesOrGoesMovesOneOfARelaysUnitsAtMost(@ForAll long seed) {
+        begin(seed, true, false);
+        terms = Told.terms(terms.relay(), -1, terms.most(), terms.perService(), 0, 0);
+        told = new Told(fresh(false));
+        for (int i = 0; i < UNITS; i++) {
+            Entry e = Told.ready("u" + i, "s", i % 3);
+            list.put(e.name(), e);
+        }
+        told.whole(list.values());
+        for (int i = 0; i < 60; i++) {
+            Set<String> before = told.ready();
+            String unit = "u" + random.nextInt(UNITS);
+            boolean goes = list.containsKey(unit);
+            Entry e = Told.ready(unit, "s", 0);
+            note(goes ? e.gone() : e);
+            told.change(goes ? e.gone() : e);
+            told.due(LOOK_US);
+            Set<String> now = told.ready();
+            Set<String> came = new TreeSet<>(now);
+            came.removeAll(before);
+            if (goes) {
+                assertThat(came.size()).isEqualTo(before.contains(unit) ? 1 : 0);
+            } else {
+                assertThat(came).isSubsetOf(Set.of(unit));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/gatelock/membership/ScopeTest.java
@@ -0,0 +1,394 @@
+package gatelock.membership;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import gatelock.relay.Listed;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.api.Test;
+
+/** Each failure that a scope has to bear, provoked. */
+final class ScopeTest {
+    private static final long SECOND = 1_000_000;
+    private static final long LOOK_US = 250_000;
+    private static final long SETTLE_US = 5 * SECOND;
+
+    private final Told told = new Told(new Scope(Told.terms(7, 0, 100, 3, 1, SETTLE_US)));
+
+    private static List<Entry> service(String name, int units, int zones) {
+        return IntStream.range(0, units).mapToObj(i -> Told.ready(name + "-" + i, name, i % zones)).toList();
+    }
+
+    private static Entry[] all(List<Entry> entries, Set<String> names, Listed.Health health) {
+        return entries.stream().filter(e -> names.contains(e.name())).map(e -> Told.unit(e.name(),
+            e.service(),
+            e.zone(), health)).toArray(Entry[]::new);
+    }
+
+    private void silent(Set<String> units, int tries) {
+        for (int i = 0; i < tries; i++) {
+            units.forEach(u -> told.ended(u, false));
+        }
+        told.due(LOOK_US);
+    }
+
+    private long zone(Set<String> units, int zone) {
+        return units.stream().filter(u -> told.units.get(u).zone() == zone).count();
+    }
+
+    @Test
+    void usesTheOwnZoneFirstAndTheLeastNumberElsewhere() {
+        told.whole(service("a", 40, 4));
+        assertThat(told.ready()).hasSize(3);
+        assertThat(zone(told.ready(), 0)).isEqualTo(2);
+    }
+
+    @Test
+    void goesElsewhereWhereTheOwnZoneHasFewerAndStaysWhereNoneIsElsewhere() {
+        told.whole(List.of(Told.ready("here", "a", 0), Told.ready("b1", "a", 1), Told.ready("b2", "a", 2),
+            Told.ready("b3", "a", 1)));
+        assertThat(told.ready()).hasSize(3).contains("here");
+        told.whole(service("a", 40, 1));
+        assertThat(told.ready()).hasSize(3);
+    }
+
+    @Test
+    void aRackLostAtOnceIsReplacedInTheSameChange() {
+        List<Entry> units = service("a", 40, 4);
+        told.whole(units);
+        for (int i = 0; i < 12; i++) {
+            Set<String> lost = told.ready();
+            told.change(all(units, lost, i % 2 == 0 ? Listed.Health.GONE : Listed.Health.DRAINING));
+            assertThat(told.ready()).hasSize(3).doesNotContainAnyElementsOf(lost);
+        }
+        assertThat(told.scope.listed()).isEqualTo(40 - 18);
+    }
+
+    @Test
+    void aZoneLostLeavesUnitsElsewhere() {
+        List<Entry> units = service("a", 40, 4);
+        told.whole(units);
+        told.change(units.stream().filter(e -> e.zone() == 0).map(Entry::gone).toArray(Entry[]::new));
+        assertThat(told.ready()).hasSize(3);
+        told.change(units.stream().filter(e -> e.zone() != 1).map(Entry::gone).toArray(Entry[]::new));
+        assertThat(told.ready()).hasSize(3);
+        assertThat(zone(told.ready(), 1)).isEqualTo(3);
+    }
+
+    @Test
+    void drainingUnitsStayToldUntilTheyAreGone() {
+        List<Entry> units = service("a", 40, 4);
+        told.whole(units);
+        Set<String> first = told.ready();
+        told.change(all(units, first, Listed.Health.DRAINING));
+        assertThat(told.units).containsKeys(first.toArray(new String[0]));
+        assertThat(told.last.entries()).extracting(Entry::health).containsOnly(Listed.Health.READY,
+            Listed.Health.DRAINING).hasSize(6);
+        told.due(10 * SETTLE_US);
+        assertThat(told.units).hasSize(6);
+        told.change(all(units, first, Listed.Health.GONE));
+        assertThat(told.last.entries()).hasSize(3);
+        assertThat(told.units).hasSize(3).doesNotContainKeys(first.toArray(new String[0]));
+    }
+
+    @Test
+    void growsWhereUnitsAreSilentAndShrinksBackOnceTheyWereHeardForTheSettleTime() {
+        told.whole(service("a", 40, 4));
+        Set<String> first = told.ready();
+        silent(first, 1);
+        assertThat(told.ready()).as("one try alone").isEqualTo(first);
+        silent(first, 1);
+        assertThat(told.ready()).hasSize(6).containsAll(first);
+        first.forEach(u -> told.ended(u, true));
+        told.due(LOOK_US);
+        told.due(SETTLE_US - LOOK_US);
+        assertThat(told.ready()).as("before the settle time").hasSize(6);
+        told.due(LOOK_US);
+        assertThat(told.ready()).isEqualTo(first);
+    }
+
+    @Test
+    void unitsThatComeAndGoWithinTheSettleTimeMoveNothing() {
+        told.whole(service("a", 40, 4));
+        Set<String> first = told.ready();
+        silent(first, 2);
+        Set<String> grown = told.ready();
+        int before = told.told;
+        for (int i = 0; i < 50; i++) {
+            first.forEach(u -> told.ended(u, true));
+            told.due(SETTLE_US / 2);
+            silent(first, 2);
+        }
+        assertThat(told.ready()).isEqualTo(grown);
+        assertThat(told.told).isEqualTo(before);
+    }
+
+    @Test
+    void goesThroughAServiceOfWhichAllButOneAreSilent() {
+        told.whole(service("a", 2_000, 4));
+        int rounds = 0;
+        for (; told.ready().stream().noneMatch("a-1234"::equals) && rounds < 1_000; rounds++) {
+            silent(told.ready(), 2);
+            assertThat(told.scope.inScope()).isLessThanOrEqualTo(100);
+        }
+        assertThat(told.ready()).contains("a-1234");
+        assertThat(rounds).isLessThan(250);
+        told.ended("a-1234", true);
+        Set<String> others = told.ready();
+        others.remove("a-1234");
+        for (int i = 0; i < 400; i++) {
+            silent(others, 2);
+            others = told.ready();
+            others.remove("a-1234");
+        }
+        assertThat(told.ready()).contains("a-1234");
+    }
+
+    @Test
+    void aZoneThatFallsSilentLeadsElsewhere() {
+        List<Entry> units = service("a", 400, 4);
+        told.whole(units);
+        for (int i = 0; i < 3; i++) {
+            silent(told.ready().stream().filter(u -> told.units.get(u).zone() == 0).collect(
+                java.util.stream.Collectors.toSet()), 2);
+        }
+        Set<String> well = told.ready();
+        well.removeIf(u -> told.units.get(u).zone() == 0);
+        assertThat(well).hasSizeGreaterThanOrEqualTo(3);
+    }
+
+    @Test
+    void whatLeavesByTheBoundAloneIsToldGoneAfterTheSettleTime() {
+        told.whole(service("a", 40, 1));
+        Set<String> first = told.ready();
+        // Names until one stands before one of the first.
+        String newcomer = null;
+        for (int i = 0; newcomer == null; i++) {
+            told.change(Told.ready("new-" + i, "a", 0));
+            newcomer = told.units.containsKey("new-" + i) ? "new-" + i : null;
+        }
+        assertThat(told.ready()).hasSize(4).containsAll(first);
+        told.due(SETTLE_US - 1);
+        assertThat(told.units).hasSize(4);
+        told.due(1);
+        assertThat(told.ready()).hasSize(3).contains(newcomer);
+        assertThat(told.last.entries()).hasSize(1).allMatch(e -> e.health() == Listed.Health.GONE);
+    }
+
+    @Test
+    void aUnitThatReturnsAsAnotherProcessIsToldAndNothingIsKnownOfIt() {
+        told.whole(service("a", 40, 4));
+        Set<String> first = told.ready();
+        String unit = first.iterator().next();
+        silent(Set.of(unit), 2);
+        assertThat(told.ready()).hasSize(4);
+        Entry again = new Entry(unit, "a", "10.0.0.1:80", told.units.get(unit).zone(), 0, 0, 2,
+            Listed.Health.READY, 5 * SECOND);
+        told.change(again);
+        assertThat(told.last.entries()).containsExactly(again);
+        told.due(SETTLE_US);
+        told.due(LOOK_US);
+        assertThat(told.ready()).isEqualTo(first);
+    }
+
+    @Test
+    void aReleaseThatRestartsUnitsUnderTheirNamesMovesNoUnitOfTheScope() {
+        List<Entry> units = service("a", 40, 4);
+        told.whole(units);
+        Set<String> first = told.ready();
+        for (Entry e : units) {
+            told.change(Told.unit(e.name(), "a", e.zone(), Listed.Health.DRAINING));
+            told.change(e.gone());
+            told.change(new Entry(e.name(), "a", e.address(), e.zone(), 0, 0, 2, Listed.Health.READY,
+                SECOND));
+        }
+        told.due(SETTLE_US);
+        assertThat(told.ready()).isEqualTo(first);
+        assertThat(told.units.values()).allMatch(e -> e.build() == 2);
+    }
+
+    @Test
+    void aUnitTwiceInAWholeListIsNamedAndNothingChanges() {
+        told.whole(service("a", 40, 4));
+        Scope.Reading reading = told.scope.read(true);
+        reading.add(Told.ready("x", "a", 0));
+        assertThatThrownBy(() -> reading.add(Told.unit("x", "a", 0, Listed.Health.GONE)))
+            .isInstanceOf(IllegalArgumentException.class).hasMessage("expected each unit once, found twice "
+            + "x");
+        assertThat(told.scope.listed()).isEqualTo(40);
+    }
+
+    @Test
+    void aUnitTwiceInAChangeCountsAsLastTold() {
+        told.whole(service("a", 3, 1));
+        told.change(Told.unit("a-0", "a", 0, Listed.Health.GONE), Told.ready("a-0", "a", 0));
+        assertThat(told.ready()).contains("a-0");
+        told.change(Told.ready("a-0", "a", 0), Told.unit("a-0", "a", 0, Listed.Health.GONE));
+        assertThat(told.units).doesNotContainKey("a-0");
+    }
+
+    @Test
+    void aReadingDroppedHalfWayChangesNothing() {
+        told.whole(service("a", 40, 4));
+        Set<String> before = told.ready();
+        told.scope.read(true).add(Told.ready("x", "a", 0));
+        Scope.Reading change = told.scope.read(false);
+        before.forEach(u -> change.add(Told.unit(u, "a", 0, Listed.Health.GONE)));
+        told.due(SETTLE_US);
+        assertThat(told.ready()).isEqualTo(before);
+        assertThat(told.scope.listed()).isEqualTo(40);
+        assertThat(told.scope.changedUs()).isEqualTo(1_000_000);
+    }
+
+    @Test
+    void anIndexThatGoesBackLosesNothing() {
+        told.whole(service("a", 40, 4));
+        Scope.Reading reading = told.scope.read(false);
+        reading.add(Told.ready("late", "b", 0));
+        told.apply(reading.take(told.nowUs, 2));
+        assertThat(told.ready("b")).containsExactly("late");
+        assertThat(told.ready("a")).hasSize(3);
+        assertThat(told.scope.index()).isEqualTo(2);
+    }
+
+    @Test
+    void aWholeListInTheMiddleOfAChangeLosesNothing() {
+        told.whole(service("a", 40, 4));
+        Scope.Reading change = told.scope.read(false);
+        change.add(Told.ready("late", "b", 0));
+        told.whole(service("a", 20, 4));
+        change.add(Told.unit("a-1", "a", 1, Listed.Health.GONE));
+        told.apply(change.take(told.nowUs, 9));
+        assertThat(told.ready("b")).containsExactly("late");
+        assertThat(told.scope.listed()).isEqualTo(20);
+    }
+
+    @Test
+    void aWholeListTellsAllThatIsInScopeAgain() {
+        told.whole(service("a", 40, 4));
+        Set<String> first = told.ready();
+        told.whole(service("a", 40, 4));
+        assertThat(told.last.whole()).isTrue();
+        assertThat(told.last.entries()).extracting(Entry::name).containsExactlyInAnyOrderElementsOf(first);
+        told.whole(service("a", 2, 4));
+        assertThat(told.ready()).containsExactly("a-0", "a-1");
+    }
+
+    @Test
+    void aUnitThatMovesToAnotherServiceIsUsedThere() {
+        told.whole(service("a", 2, 1));
+        told.change(Told.ready("a-0", "b", 0));
+        assertThat(told.ready("a")).containsExactly("a-1");
+        assertThat(told.ready("b")).containsExactly("a-0");
+        assertThat(told.scope.services()).isEqualTo(2);
+    }
+
+    @Test
+    void theBoundIsSharedOutFairlyAndCountedWhereItDoesNotSuffice() {
+        Told bound = new Told(new Scope(Told.terms(7, 0, 20, 5, 1, SETTLE_US)));
+        List<Entry> units = new ArrayList<>();
+        IntStream.range(0, 8).forEach(s -> units.addAll(service("s" + s, s == 0 ? 1 : 20, 4)));
+        bound.whole(units);
+        assertThat(bound.scope.aim()).isEqualTo(2);
+        assertThat(bound.ready("s0")).hasSize(1);
+        IntStream.range(1, 8).forEach(s -> assertThat(bound.ready("s" + s)).hasSize(2));
+        assertThat(bound.scope.crowdedOut()).isZero();
+        IntStream.range(8, 30).forEach(s -> bound.change(service("s" + s, 20, 4).toArray(Entry[]::new)));
+        assertThat(bound.scope.aim()).isZero();
+        assertThat(bound.scope.inScope()).isEqualTo(20);
+        assertThat(bound.scope.crowdedOut()).isEqualTo(10);
+        // Those without a place come in as others leave.
+        Set<String> in = new TreeSet<>();
+        bound.units.values().forEach(e -> in.add(e.service()));
+        assertThat(in).hasSize(20);
+        in.stream().limit(4).forEach(s -> bound.change(service(s, 20, 4).stream().map(Entry::gone)
+            .toArray(Entry[]::new)));
+        assertThat(bound.scope.crowdedOut()).isEqualTo(6);
+        assertThat(bound.scope.inScope()).isEqualTo(20);
+    }
+
+    @Test
+    void eachServiceHasMoreAgainOnlyWhenThereWasRoomForTheSettleTime() {
+        Told bound = new Told(new Scope(Told.terms(7, 0, 20, 5, 1, SETTLE_US)));
+        IntStream.range(0, 8).forEach(s -> bound.change(service("s" + s, 20, 4).toArray(Entry[]::new)));
+        assertThat(bound.scope.aim()).isEqualTo(2);
+        Entry[] gone = service("s0", 20, 4).stream().map(Entry::gone).toArray(Entry[]::new);
+        Entry[] last = service("s1", 20, 4).stream().map(Entry::gone).toArray(Entry[]::new);
+        bound.change(gone);
+        bound.change(last);
+        assertThat(bound.scope.aim()).isEqualTo(2);
+        bound.due(SETTLE_US - 1);
+        assertThat(bound.scope.aim()).isEqualTo(2);
+        bound.due(1);
+        assertThat(bound.scope.aim()).isEqualTo(3);
+        bound.change(service("s0", 20, 4).toArray(Entry[]::new));
+        assertThat(bound.scope.aim()).isEqualTo(2);
+    }
+
+    @Test
+    void termsWithoutSenseAreRefused() {
+        assertThatThrownBy(() -> Told.terms(1, 0, 0, 1, 0, 0)).isInstanceOf(IllegalArgumentException.class);
+        assertThatThrownBy(() -> Told.terms(1, 0, 1, 0, 0, 0)).isInstanceOf(IllegalArgumentException.class);
+        assertThatThrownBy(() -> Told.terms(1, 0, 1, 1, -1, 0)).isInstanceOf(IllegalArgumentException.class);
+        assertThatThrownBy(() -> Told.terms(1, 0, 1, 1, 0, -1)).isInstanceOf(IllegalArgumentException.class)
+            .hasMessageContaining("-1");
+    }
+
+    /**
+     * Rule 4: a cold unit's budget at a relay is {@code times} this relay's work over the units in its scope
+     * (ReleaseGate, inBudget). Over all that hold the unit it is at most {@code times} the mean unit's work,
+     * times how many hold it over the mean; also where scopes have unequal sizes.
+     */
+    @Test
+    void aColdUnitsPartsAddUpToTheMeanUnitsWorkTimesTheUnevennessOfItsHolders() {
+        int relays = 600;
+        int units = 28;
+        List<Entry> list = service("a", units, 1);
+        Map<String, Double> parts = new TreeMap<>();
+        Map<String, Integer> holders = new TreeMap<>();
+        int held = 0;
+        for (int r = 0; r < relays; r++) {
+            Told relay = new Told(new Scope(Told.terms(r, -1, 100, r % 2 == 0 ? 5 : 8, 0, SETTLE_US)));
+            relay.whole(list);
+            for (String unit : relay.ready()) {
+                parts.merge(unit, 1.0 / relay.ready().size(), Double::sum);
+                holders.merge(unit, 1, Integer::sum);
+                held++;
+            }
+        }
+        double mean = relays / (double) units;
+        double most = parts.values().stream().mapToDouble(p -> p / mean).max().orElseThrow();
+        double uneven = holders.values().stream().mapToInt(h -> h).max().orElseThrow() / (held
+            / (double) units);
+        assertThat(parts).hasSize(units);
+        assertThat(parts.values().stream().mapToDouble(p -> p).sum()).isBetween(relays - 1e-6, relays + 1e-6);
+        // Five standard deviations of a binomial share, as the ranking is by independent hashes.
+        double five = 1 + 5 * Math.sqrt((1 - 6.5 / units) / (held / (double) units));
+        assertThat(uneven).isLessThan(five);
+        assertThat(most).isLessThan(five * 8 / 6.5);
+    }
+
+    @Test
+    void whatIsOutOfScopeCostsTensOfBytes() {
+        Scope scope = new Scope(Told.terms(7, 0, 100, 3, 1, SETTLE_US));
+        Scope.Reading reading = scope.read(true);
+        for (int i = 0; i < 200_000; i++) {
+            reading.add(new Entry("unit-" + (1_000_000 + i), "service-" + i % 7_200, "10." + (i >> 16) + "."
+                + (i >> 8 & 255) + "." + (i & 255) + ":8443", i % 19, i % 4, i % 50, 800 + i % 5,
+                Listed.Health.READY, 1_780_000_000_000_000L + i * 1000L));
+        }
+        reading.take(0, 1);
+        assertThat(scope.listed()).isEqualTo(200_000);
+        assertThat(scope.inScope()).isEqualTo(100);
+        assertThat(scope.crowdedOut()).isEqualTo(7_100);
+        assertThat(scope.bytes() / 200_000.0).isLessThan(64);
+    }
+}
--- /dev/null
+++ b/src/test/java/gatelock/membership/StoreTest.java
@@ -0,0 +1,159 @@
+package gatelock.membership;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import gatelock.relay.Listed;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+import java.util.stream.Collectors;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+/** The packed store against a plain map, also where hashes of names are equal. */
+final class StoreTest {
+    private static final Listed.Health[] HEALTH = Listed.Health.values();
+
+    /** Names that nearly all have the same hash. */
+    static final class Colliding extends Ranking {
+        private final int different;
+
+        Colliding(long relay, int different) {
+            super(relay);
+            this.different = different;
+        }
+
+        @Override
+        long hash(byte[] bytes, int from, int length) {
+            return super.hash(bytes, from, length) % different;
+        }
+    }
+
+    private static Entry entry(String name, String service, String address) {
+        return new Entry(name, service, address, 0, 0, 0, 1, Listed.Health.READY, 0);
+    }
+
+    private static Entry any(RandomGenerator random, int names) {
+        String[] addresses = {"10.0.0." + random.nextInt(256) + ":" + random.nextInt(65_536), "unit:80",
+            "1.2.3:4", "01.2.3.4:5", "1.2.3.4:05", "1.2.3.4:70000", "1.2.3.400:5", "1.2.3.4:", "",
+            "0.0.0.0:0",
+            "255.255.255.255:65535", "[::1]:80", "1.2.3.4.5:6", "1.2.3.4:5:6"};
+        long[] starts = {0, 1, -1, 1_780_000_000_000_000L, 1_780_000_000_000_001L, Long.MAX_VALUE,
+            Long.MIN_VALUE,
+            -3_000};
+        Map<String, String> labels = random.nextInt(3) > 0 ? Map.of() : random.ints(random.nextInt(4), 0, 9)
+            .boxed().distinct().collect(Collectors.toMap(i -> "label" + i, i -> "v\u00e4lue".repeat(i)));
+        return new Entry("n" + "ame".repeat(random.nextInt(2)) + random.nextInt(names), "s"
+            + random.nextInt(4),
+            addresses[random.nextInt(addresses.length)], random.nextInt(20) - 1, random.nextInt(300),
+            random.nextInt(), random.nextInt(1000) - 1, HEALTH[random.nextInt(HEALTH.length)],
+            starts[random.nextInt(starts.length)], labels);
+    }
+
+    @Property(tries = 300)
+    void keepsWhatAMapKeeps(@ForAll long seed, @ForAll boolean colliding) {
+        RandomGenerator random = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
+        int names = 1 + random.nextInt(120);
+        Store store = new Store(colliding ? new Colliding(7, 1 + random.nextInt(3)) : new Ranking(7));
+        Map<String, Entry> model = new TreeMap<>();
+        for (int i = 0; i < 600; i++) {
+            Entry e = any(random, names);
+            if (random.nextInt(3) == 0) {
+                assertThat(store.remove(e.name())).isEqualTo(model.remove(e.name()) != null);
+                store.forget(e.service());
+            } else {
+                assertThat(store.entry(store.put(e))).isEqualTo(e);
+                model.put(e.name(), e);
+            }
+            assertThat(store.size()).isEqualTo(model.size());
+        }
+        model.forEach((name, e) -> {
+            int place = store.find(name);
+            assertThat(store.entry(place)).isEqualTo(e);
+            assertThat(store.unit(place)).isEqualTo(name);
+            assertThat(store.zone(place)).isEqualTo(e.zone());
+            assertThat(store.health(place)).isEqualTo(e.health());
+        });
+        Map<String, Entry> each = new HashMap<>();
+        store.each(place -> each.put(store.unit(place), store.entry(place)));
+        assertThat(each).isEqualTo(model);
+        Map<String, Map<String, Entry>> byService = new TreeMap<>();
+        model.values().forEach(e -> byService.computeIfAbsent(e.service(),
+            s -> new TreeMap<>()).put(e.name(), e));
+        assertThat(store.services()).containsExactlyInAnyOrderElementsOf(byService.keySet());
+        byService.forEach((service, units) -> {
+            Map<String, Entry> its = new TreeMap<>();
+            for (int at = store.first(service); at >= 0; at = store.next(at)) {
+                its.put(store.unit(at), store.entry(at));
+            }
+            assertThat(its).isEqualTo(units);
+            assertThat(store.units(service)).isEqualTo(units.size());
+            assertThat(store.ready(service)).isEqualTo((int) units.values().stream()
+                .filter(e -> e.health() == Listed.Health.READY).count());
+        });
+    }
+
+    @Test
+    void namesWithOneHashAreToldApart() {
+        Store store = new Store(new Colliding(1, 1));
+        for (int i = 0; i < 1000; i++) {
+            store.put(entry("unit-" + i, "s", "10.0.0.1:" + i));
+        }
+        for (int i = 0; i < 1000; i += 2) {
+            store.remove("unit-" + i);
+        }
+        assertThat(store.size()).isEqualTo(500);
+        for (int i = 0; i < 1000; i++) {
+            int place = store.find("unit-" + i);
+            assertThat(place >= 0).isEqualTo(i % 2 == 1);
+            if (place >= 0) {
+                assertThat(store.entry(place).address()).isEqualTo("10.0.0.1:" + i);
+            }
+        }
+    }
+
+    @Test
+    void bytesOfUnitsThatLeftAreUsedAgain() {
+        Store store = new Store(new Ranking(1));
+        for (int i = 0; i < 5_000; i++) {
+            store.put(entry("unit-" + (10_000 + i), "s" + i % 100, "10.0.0.1:80"));
+        }
+        long bytes = store.bytes();
+        for (int i = 5_000; i < 50_000; i++) {
+            store.remove("unit-" + (10_000 + i - 5_000));
+            store.put(entry("unit-" + (10_000 + i), "s" + i % 100, "10.0.0.1:80"));
+        }
+        assertThat(store.size()).isEqualTo(5_000);
+        assertThat(store.bytes()).isLessThanOrEqualTo(bytes + 64);
+    }
+
+    @Test
+    void servicesThatLeftAreForgotten() {
+        Store store = new Store(new Ranking(1));
+        for (int i = 0; i < 1_000; i++) {
+            store.put(entry("u", "service-" + i, "10.0.0.1:80"));
+            store.forget("service-" + (i - 1));
+            assertThat(store.services()).containsExactly("service-" + i);
+        }
+    }
+
+    @Test
+    void entriesThatCannotBeKeptAreRefusedAndChangeNothing() {
+        Store store = new Store(new Ranking(1));
+        store.put(entry("a", "s", "10.0.0.1:80"));
+        assertThatThrownBy(() -> store.put(new Entry("a", "s", "x", 0, 0, 0, 1, Listed.Health.READY, 0,
+            Map.of("l", "v".repeat(70_000))))).isInstanceOf(IllegalArgumentException.class)
+            .hasMessageContaining("65536 bytes").hasMessageEndingWith("for a");
+        assertThatThrownBy(() -> store.put(entry("half\ud83d", "s", "x")))
+            .isInstanceOf(IllegalArgumentException.class).hasMessageContaining("must be text");
+        store.put(entry("whole\ud83d\ude00", "s", "x"));
+        assertThat(store.size()).isEqualTo(2);
+        assertThat(store.entry(store.find("a"))).isEqualTo(entry("a", "s", "10.0.0.1:80"));
+    }
+}
--- /dev/null
+++ b/src/test/java/gatelock/membership/Told.java
@@ -0,0 +1,87 @@
+package gatelock.membership;
+
+import gatelock.relay.Listed;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+
+/** A scope with what the decisions know by its changes, and a clock. */
+final class Told {
+    final Scope scope;
+    final Map<String, Entry> units = new TreeMap<>();
+    long nowUs = 1_000_000;
+    /** Entries told so far. */
+    int told;
+    Scope.Change last;
+
+    Told(Scope scope) {
+        this.scope = scope;
+    }
+
+    static Scope.Terms terms(long relay, int zone, int most, int perService, int leastElsewhere,
+        long settleUs) {
+        return new Scope.Terms(relay, zone, most, perService, leastElsewhere, settleUs);
+    }
+
+    static Entry unit(String name, String service, int zone, Listed.Health health) {
+        return new Entry(name, service, "10.0.0.1:80", zone, 0, 0, 1, health, 0);
+    }
+
+    static Entry ready(String name, String service, int zone) {
+        return unit(name, service, zone, Listed.Health.READY);
+    }
+
+    void whole(Iterable<Entry> entries) {
+        take(true, entries);
+    }
+
+    void change(Entry... entries) {
+        take(false, List.of(entries));
+    }
+
+    void take(boolean whole, Iterable<Entry> entries) {
+        Scope.Reading reading = scope.read(whole);
+        entries.forEach(reading::add);
+        apply(reading.take(nowUs, 7));
+    }
+
+    void due(long inUs) {
+        nowUs += inUs;
+        apply(scope.due(nowUs));
+    }
+
+    void ended(String unit, boolean heard) {
+        scope.ended(nowUs, unit, heard);
+    }
+
+    /** As the decisions do. */
+    void apply(Scope.Change change) {
+        last = change;
+        told += change.entries().size();
+        if (change.whole()) {
+            units.clear();
+        }
+        for (Entry e : change.entries()) {
+            if (e.health() == Listed.Health.GONE) {
+                units.remove(e.name());
+            } else {
+                units.put(e.name(), e);
+            }
+        }
+    }
+
+    Set<String> ready(String service) {
+        return units.values().stream().filter(e -> e.service().equals(service)
+            && e.health() == Listed.Health.READY).map(Entry::name)
+            .collect(Collectors.toCollection(TreeSet::new));
+    }
+
+    Set<String> ready() {
+        return units.values().stream().filter(e -> e.health() == Listed.Health.READY).map(Entry::name)
+            .collect(Collectors.toCollection(TreeSet::new));
+    }
+}
