--- a/src/main/java/gatelock/membership/Scope.java
+++ b/src/main/java/gatelock/membership/Scope.java
@@ -129,6 +129,8 @@
         private final Candidate[] gone = new Candidate[2];
         /** It was gone along to its end: no more to be found while one unit answers. */
         private boolean through;
+        /** One of the first gave way while it was silent: such count as silent until they are heard. */
+        private boolean doubted;
         /** When the first of the ranking that had to give way are asked for again. */
         private long againUs = NEVER;
 
@@ -432,6 +434,7 @@
                 s.through = false;
             }
             boolean gaveWay = s.units.stream().filter(h -> h.first).count() < wanted(s);
+            s.doubted &= gaveWay || !well;
             again(s, !gaveWay || !well ? NEVER : s.againUs == NEVER ? nowUs + terms.settleUs() : s.againUs);
         }
         Set<Held> leaving = yielding.get(NOT_NEEDED);
@@ -674,6 +677,7 @@
             }
             leave(gives, gives.entry.gone());
             if (gives.first) {
+                gives.service.doubted = true;
                 dirty.add(gives.service);
             }
         }
@@ -681,6 +685,8 @@
         Held h = new Held(s, e, c.rank);
         h.own = c.own;
         h.first = first;
+        // Else what was found to answer would make room for it, and be lost if it is silent still.
+        h.silent = first && s.doubted ? SILENT_TRIES : 0;
         s.units.add(h);
         held.put(e.name(), h);
         told.put(e.name(), e);
