--- a/src/main/java/gatelock/membership/Scope.java
+++ b/src/main/java/gatelock/membership/Scope.java
@@ -94,6 +94,8 @@
         /** Among the first of the ranking, as aimed at. */
         private boolean first;
         private int silent;
+        /** Taken up while others are silent, and not heard since. */
+        private boolean untried;
         private long leavesUs = NEVER;
         private int yields = STAYS;
 
@@ -139,6 +141,10 @@
             this.rank = rank;
         }
 
+        private boolean growing() {
+            return gone[0] != null || gone[1] != null || doubted;
+        }
+
         @Override
         public int compareTo(Service other) {
             return order(rank, name, other.rank, other.name);
@@ -280,6 +286,7 @@
         if (h.entry.startUs() != now.startUs() || h.entry.build() != now.build()) {
             // Another process under the name: nothing is known of it.
             h.silent = 0;
+            h.untried = false;
         }
         h.entry = now;
         h.own = own(now.zone());
@@ -309,9 +316,11 @@
     public void ended(long nowUs, String unit, boolean heard) {
         Held h = held.get(unit);
         if (h != null) {
-            boolean was = h.usable();
+            boolean usable = h.usable();
+            boolean untried = h.untried;
             h.silent = heard ? 0 : Math.min(SILENT_TRIES, h.silent + 1);
-            if (h.usable() != was) {
+            h.untried &= !heard;
+            if (h.usable() != usable || h.untried != untried) {
                 dirty.add(h.service);
             }
         }
@@ -429,12 +438,15 @@
             boolean well = s.units.stream().allMatch(h -> !h.first || h.usable());
             if (missing > 0) {
                 grow(s, missing, nowUs);
-            } else if (well) {
+            }
+            boolean gaveWay = s.units.stream().filter(h -> h.first).count() < wanted(s);
+            if (!gaveWay && s.units.stream().allMatch(h -> !h.first || h.usable() && !h.untried)) {
+                // Not before they were heard: only taken up again, they may be silent still.
                 Arrays.fill(s.gone, null);
                 s.through = false;
+                s.doubted = false;
+                weigh(s, nowUs);
             }
-            boolean gaveWay = s.units.stream().filter(h -> h.first).count() < wanted(s);
-            s.doubted &= gaveWay || !well;
             again(s, !gaveWay || !well ? NEVER : s.againUs == NEVER ? nowUs + terms.settleUs() : s.againUs);
         }
         Set<Held> leaving = yielding.get(NOT_NEEDED);
@@ -589,14 +601,16 @@
         int wanted = wanted(s);
         int room = wanted;
         List<Held> ready = s.units.stream().filter(Held::ready).sorted(Comparator
-            .comparing((Held h) -> !h.usable()).thenComparing(h -> !h.first)
+            .comparing((Held h) -> !h.usable()).thenComparing(h -> s.growing() && h.untried)
+            .thenComparing(h -> !h.first)
             .thenComparing(Comparator.naturalOrder())).toList();
         int missing = wanted;
         for (Held h : ready) {
             missing -= h.usable() ? 1 : 0;
             boolean stays = room > 0;
             room--;
-            boolean leaves = !stays && !h.first;
+            // What was taken up while others are silent is not let go before it was tried.
+            boolean leaves = !stays && !h.first && !(s.growing() && h.usable() && h.untried);
             h.leavesUs = !leaves ? NEVER : h.leavesUs == NEVER ? nowUs + terms.settleUs() : h.leavesUs;
             yields(h, leaves ? NOT_NEEDED : stays ? STAYS : SILENT);
         }
@@ -687,6 +701,7 @@
         h.first = first;
         // Else what was found to answer would make room for it, and be lost if it is silent still.
         h.silent = first && s.doubted ? SILENT_TRIES : 0;
+        h.untried = !first || s.growing();
         s.units.add(h);
         held.put(e.name(), h);
         told.put(e.name(), e);
