A list that is too long is said and counted as that, and no longer passes as silence

An answer past 2 MB ended as unreadable, then as broken off, and after 2 s the log said 'discovery is silent': an outage that names the wrong cause.

The log now names the body's size, the bound and what mends it, once until a list is taken again; 'lists too long' counts them, in place of 'discovery failed'. What was listed stays. A new process that has never taken a list waits for one as long as before (2 s from its first call), then says that the list is too long and that its configuration's units serve. A change that is too long is followed by a call for the whole list, which may be shorter. The next call comes after 0.5 to 1 s, not 0.1 to 0.2, since each one has discovery write all of it. A list that came and can't be taken for another reason isn't called silence either.

--- a/src/main/java/gatelock/control/Subscription.java
+++ b/src/main/java/gatelock/control/Subscription.java
@@ -267,7 +267,12 @@
 
         @Override
         public void unreadable(String why) {
-            unreadable = why.startsWith("body of") ? "the version is larger than may be here: " + why : why;
+            unreadable = why;
+        }
+
+        @Override
+        public void tooLong(String why) {
+            unreadable = "the version is larger than may be here: " + why;
         }
 
         @Override
--- a/src/main/java/gatelock/wire/AnswerReader.java
+++ b/src/main/java/gatelock/wire/AnswerReader.java
@@ -93,7 +93,7 @@
             parts.accept(some);
         } else {
             if (body.size() + some.length > mostBody) {
-                throw new UnreadableAnswer("body too long");
+                throw new TooLongAnswer("at least " + (body.size() + some.length), mostBody);
             }
             body.writeBytes(some);
         }
@@ -205,7 +205,7 @@
             && text.chars().allMatch(c -> c < 128 && Character.digit(c, radix) >= 0);
         long found = form ? Long.parseLong(text, radix) : -1;
         if (parts == null && found > mostBody) {
-            throw new UnreadableAnswer("body of " + found + " bytes is longer than " + mostBody);
+            throw new TooLongAnswer((part == Part.CHUNK_SIZE ? "at least " : "") + found, mostBody);
         }
         if (found < 0) {
             throw new UnreadableAnswer("expected a length, found " + text);
--- a/src/main/java/gatelock/wire/Discovery.java
+++ b/src/main/java/gatelock/wire/Discovery.java
@@ -29,11 +29,17 @@
     private static final long HOLD_MS = 2_000;
     private static final long GRACE_US = 1_000_000;
     private static final long RETRY_US = 100_000;
+    /**
+     * Guards against a discovery that writes a list anew, all of it, for each of many relays that can't take it.
+     * Harms where a list is short enough again at once: that is heard by so much later.
+     */
+    private static final long TOO_LONG_RETRY_US = 500_000;
     private static final int MOST_LABELS = 32;
     /** Of a list's answer: 1,024 units and twice as many that leave, with names of usual length. */
     public static final int MOST_LIST = 2 * 1024 * 1024;
     /** How far a unit's start may lie ahead of this relay's clock. */
     private static final long AHEAD_US = 60_000_000;
+    private static final String TOO_LONG = "too long";
     private static final Map<String, Listed.Health> HEALTH = Map.of("in_service", Listed.Health.READY,
         "terminating", Listed.Health.DRAINING, "terminated", Listed.Health.GONE);
 
@@ -92,8 +98,8 @@
     }
 
     /**
-     * Does this once a list has come from discovery, or once a call fails that long after the first: calls have
-     * all of their time, so that a thread that is late itself does not take discovery for silent.
+     * Does this once a list has come from discovery, or once a call brings none that long after the first: calls
+     * have all of their time, so that a thread that is late itself does not take discovery for silent.
      */
     public void whenListed(long silentUs, Runnable then) {
         if (heard) {
@@ -180,23 +186,44 @@
                 LOG.log(Level.WARNING, "discovery, what was listed stays: " + e.getMessage());
                 unread = e.getMessage();
             }
-            failed();
+            counters.add("discovery failed");
+            without("discovery's list can't be taken, " + unread, RETRY_US);
             return false;
         }
     }
 
     private void failed() {
         counters.add("discovery failed");
+        without("discovery is silent", RETRY_US);
+    }
+
+    /**
+     * A list is longer than is taken: what was listed stays, and a start waits for a shorter one as long as for
+     * any. A change that is too long may stand in a whole list that is not, so that is asked for next.
+     */
+    private void tooLong(String why) {
+        counters.add("lists too long");
+        if (!TOO_LONG.equals(unread)) {
+            LOG.log(Level.WARNING, "discovery's list is too long: " + why + ", what was listed stays; "
+                + "have fewer units listed to this relay");
+            unread = TOO_LONG;
+        }
+        index = -1;
+        without("discovery's list is too long", TOO_LONG_RETRY_US);
+    }
+
+    /** A call has brought no list, for that reason; asks again after that time or up to twice as long. */
+    private void without(String why, long retryUs) {
         whenFailed.run();
         if (whenListed != null && turn.nowUs() - askedFirstUs >= silentUs) {
-            LOG.log(Level.WARNING, "discovery is silent, what the configuration lists serves");
+            LOG.log(Level.WARNING, why + ", what the configuration lists serves");
             listed();
         }
         if (onRequest) {
             following = false;
             gate.listed(turn.nowUs(), Gate.ListForm.FAILED, List.of());
         } else {
-            again = turn.in(RETRY_US + chance.nextLong(RETRY_US), this::ask);
+            again = turn.in(retryUs + chance.nextLong(retryUs), this::ask);
         }
     }
 
@@ -272,6 +299,8 @@
 
     /** One call for the list. */
     private final class Asked implements Line.User {
+        private String tooLong;
+
         @Override
         public boolean answered(UnitAnswer answer) {
             return told(answer);
@@ -279,7 +308,16 @@
 
         @Override
         public void broken(boolean written) {
-            failed();
+            if (tooLong == null) {
+                failed();
+            } else {
+                Discovery.this.tooLong(tooLong);
+            }
+        }
+
+        @Override
+        public void tooLong(String why) {
+            tooLong = why;
         }
 
         @Override
--- a/src/main/java/gatelock/wire/Line.java
+++ b/src/main/java/gatelock/wire/Line.java
@@ -38,6 +38,10 @@
         default void unreadable(String why) {
         }
 
+        /** The answer is longer than is taken, as told; {@link #broken} follows. */
+        default void tooLong(String why) {
+        }
+
         /** The time for the call was over first, and it was given up. */
         default void late() {
         }
@@ -187,7 +191,11 @@
         } catch (UnreadableAnswer e) {
             home.unreadable(address, e);
             if (user != null) {
-                user.unreadable(e.getMessage());
+                if (e instanceof TooLongAnswer) {
+                    user.tooLong(e.getMessage());
+                } else {
+                    user.unreadable(e.getMessage());
+                }
             }
             end();
         } catch (IOException e) {
