A relay uses the units in its scope and reads lists of any length as they come

A list past 2 MB could not be taken at all. With a section 'membership' in the operator's file the relay now reads a list from the pieces in which it comes (ListReader, Jackson's non-blocking parser), hands entry by entry to gatelock.membership and tells the decisions, pools and addresses of the units in scope only; a unit that leaves the scope is forgotten as one that left. A list that is bad anywhere changes nothing. At most 64 KB are read before others have their turn on the I/O thread. A list may take 30 s in all with no second without a byte of it, in place of 1 s whole. Ends of tries tell the scope who answers; it is looked at each 250 ms. Bounds are checked with place, cause and mend (O-SCOPE-...); the operator's listener and the log each minute show list, scope, last change and lists too long. Off where none is configured.

A whole list told only behind its entries in answer to a watch is refused and asked for anew.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo test lint run measure-plan measure-swarm measure-sessions measure-fleet measure-membership
+.PHONY: build demo test lint run measure-plan measure-swarm measure-sessions measure-fleet measure-membership measure-list
 
 build:
 	mvn -B -q -DskipTests package
@@ -48,3 +48,9 @@
 		docs/capacity/membership.json "$$(date -u +%Y-%m-%dT%H:%M:%SZ)-$$(git rev-parse --short HEAD)"
 	java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xms96m -Xmx96m -Xmn64m \
 		-cp "target/classes:target/test-classes:$$(cat target/test.classpath)" gatelock.membership.ScopeMeasure fit
+
+# One relay with the platform's flags before a list of 200,000 units, with and without a scope; the tables of
+# docs/measurements/membership-relay.md. ROWS="2 write COMMIT" plays one row, or notes the rows it played.
+measure-list:
+	mvn -B -q -DskipTests package dependency:build-classpath -Dmdep.outputFile=target/test.classpath
+	java -cp "target/classes:target/test-classes:$$(cat target/test.classpath)" gatelock.standin.ListMeasure $(ROWS)
--- a/src/main/java/gatelock/boot/Chain.java
+++ b/src/main/java/gatelock/boot/Chain.java
@@ -4,6 +4,7 @@
 import gatelock.kept.Addresses;
 import gatelock.kept.Counters;
 import gatelock.kept.OpenReqs;
+import gatelock.membership.Scope;
 import gatelock.plan.Admission;
 import gatelock.relay.Gate;
 import gatelock.session.Sessions;
@@ -40,16 +41,20 @@
     private final Counters counters;
     private final Admission admission;
     private final Sessions sessions;
+    private final Operator.Membership membership;
+    private final SendOff sendOff;
     private Desk desk;
     private Discovery discovery;
 
     /**
      * @param admission what the plan in force means; null: there never is one
      * @param sessions null: none are opened
+     * @param membership what units are used of those that are listed; null: all
      */
     Chain(Configuration told, Turn turn, Counters counters, Front front, Admission admission,
-        Sessions sessions) {
+        Sessions sessions, Operator.Membership membership) {
         this.told = told;
+        this.membership = membership;
         this.admission = admission;
         this.sessions = sessions;
         this.turn = turn;
@@ -60,7 +65,8 @@
             * 2 / 5);
         RelayBack relayBack = new RelayBack(turn, open, counters);
         Book book = new Book(turn, open, counters, relayBack);
-        RouteOut routeOut = new RouteOut(addresses, new SendOff(turn, units, book));
+        sendOff = new SendOff(turn, units, book);
+        RouteOut routeOut = new RouteOut(addresses, sendOff);
         orders = new Orders(turn, open);
         gate = new ReleaseGate(told.charter(), orders);
         orders.bind(gate, routeOut, relayBack, book);
@@ -79,7 +85,12 @@
         desk = new Desk(turn, counters, platform, told.desk(), told.charter().rollout().voteWaitUs());
         discovery = new Discovery(turn, counters, platform, told.discovery(), addresses, units,
             told.plain("zones"), told.plain("flavors"), told.charter().mustAskForList(),
-            new SplittableRandom(told.charter().seed() + 1));
+            new SplittableRandom(told.charter().seed() + 1), membership == null ? null
+            : new Discovery.Membership(new Scope(membership.terms()), membership.service(),
+            membership.mostListBytes()));
+        if (membership != null) {
+            sendOff.whenEnded(discovery::ended);
+        }
         orders.bind(desk, discovery);
         gate.start(turn.nowUs());
         Gate hears = sessions == null ? gate : new Told(gate, sessions);
@@ -100,6 +111,11 @@
         discovery.whenListed(silentUs, then);
     }
 
+    /** How the list of units stands. */
+    Discovery.State listState() {
+        return discovery.state();
+    }
+
     /** Does this each time discovery has failed. */
     void whenFailed(Runnable then) {
         discovery.whenFailed(then);
--- a/src/main/java/gatelock/boot/Main.java
+++ b/src/main/java/gatelock/boot/Main.java
@@ -50,8 +50,9 @@
         }
         Path path = Path.of(file);
         try {
-            Operator operator = operatorsFile == null ? null : Operator.read(operatorsFile);
-            Service.start(path, Configuration.read(path), operatorsFile, operator, how, hangup);
+            Configuration told = Configuration.read(path);
+            Operator operator = operatorsFile == null ? null : Operator.read(operatorsFile, told);
+            Service.start(path, told, operatorsFile, operator, how, hangup);
             return true;
         } catch (IOException e) {
             System.err.println("gatelock: " + e.getMessage());
--- a/src/main/java/gatelock/boot/Operator.java
+++ b/src/main/java/gatelock/boot/Operator.java
@@ -1,8 +1,10 @@
 package gatelock.boot;
 
+import gatelock.membership.Scope;
 import gatelock.plan.Draft;
 import gatelock.plan.Finding;
 import gatelock.plan.Form;
+import gatelock.wire.ServiceName;
 
 import com.fasterxml.jackson.databind.JsonNode;
 
@@ -18,8 +20,19 @@
  * The operator's own file: all that a relay does beyond what the platform tells it. Without one all of it is
  * off.
  */
-record Operator(Control control, Sessions sessions, InetSocketAddress listener, boolean jsonLog,
-    String logLevel) {
+record Operator(Control control, Sessions sessions, Membership membership, InetSocketAddress listener,
+    boolean jsonLog, String logLevel) {
+
+    /**
+     * Guards against a scope that fills the heap, of which reqs would be lost: twice what a unit was measured to
+     * take there, in a quarter of it. Could refuse a scope that would just have fitted.
+     */
+    private static final long HEAP_FOR_A_UNIT = 3_200;
+    private static final int HEAP_SHARE = 4;
+    /** So many units may be in scope in any heap. */
+    private static final int LEAST_BORNE = 1_024;
+    private static final long MOST_LIST_BYTES = 64L << 20;
+    private static final double SETTLE_S = 10;
 
     /** Versioned configuration from a control service. */
     record Control(List<InetSocketAddress> services, long holdMs, int mostBytes, long mostWaitUs,
@@ -31,8 +44,21 @@
     record Sessions(int most, double opensPerUnit, long drainUs) {
     }
 
-    /** Reads a file; whatever is wrong in it is told, each with its place and what mends it. */
-    static Operator read(Path file) throws IOException {
+    /** Which units are used of those that are listed, and how long an answer with a list may be. */
+    record Membership(Scope.Terms terms, ServiceName service, long mostListBytes, String text) {
+
+        /** Whether the file says the same. */
+        boolean same(Membership other) {
+            return other != null && text.equals(other.text);
+        }
+    }
+
+    /**
+     * Reads a file; whatever is wrong in it is told, each with its place and what mends it.
+     *
+     * @param told the deployment that it is for
+     */
+    static Operator read(Path file, Configuration told) throws IOException {
         byte[] text;
         try {
             text = Files.readAllBytes(file);
@@ -44,15 +70,15 @@
         if (draft != null) {
             Form.OPERATOR.check(draft, findings);
         }
-        Operator read = findings.isEmpty() ? of(draft.root(), findings) : null;
+        Operator read = findings.isEmpty() ? of(draft.root(), told, findings) : null;
         if (!findings.isEmpty()) {
-            List<Finding> told = draft == null ? findings : draft.placed(findings);
-            throw new IOException(told.stream().map(f -> file + ":" + f).collect(Collectors.joining("\n")));
+            List<Finding> placed = draft == null ? findings : draft.placed(findings);
+            throw new IOException(placed.stream().map(f -> file + ":" + f).collect(Collectors.joining("\n")));
         }
         return read;
     }
 
-    private static Operator of(JsonNode root, List<Finding> findings) {
+    private static Operator of(JsonNode root, Configuration told, List<Finding> findings) {
         InetSocketAddress listener = root.has("listener") ? address(root.get("listener").asText(),
             "/listener", findings)
             : null;
@@ -63,7 +89,8 @@
         }
         JsonNode log = root.path("log");
         return new Operator(root.has("control") ? control(root.get("control"), findings) : null,
-            root.has("sessions") ? sessions(root.get("sessions")) : null, listener,
+            root.has("sessions") ? sessions(root.get("sessions")) : null,
+            root.has("membership") ? membership(root.get("membership"), told, findings) : null, listener,
             log.path("form").asText("plain").equals("json"), log.path("level").asText(null));
     }
 
@@ -72,6 +99,45 @@
             (long) (node.path("drainS").asDouble(20) * 1e6));
     }
 
+    private static Membership membership(JsonNode node, Configuration told, List<Finding> findings) {
+        int most = node.get("most").asInt();
+        int perService = node.get("perService").asInt();
+        int elsewhere = node.path("leastElsewhere").asInt(Math.min(1, perService - 1));
+        int bears = (int) Math.max(LEAST_BORNE, Runtime.getRuntime().maxMemory() / HEAP_SHARE / HEAP_FOR_A_UNIT);
+        if (most > bears) {
+            wrong(findings, "O-SCOPE-HEAP", "most", "this relay's heap bears " + bears + " units in scope, not "
+                + most, "name at most " + bears + ", or give the relay more memory");
+        }
+        if (perService > most) {
+            wrong(findings, "O-SCOPE-SERVICE", "perService", perService + " units of one service are more than the "
+                + most + " of all that most allows", "name at most " + most);
+        }
+        if (elsewhere > perService) {
+            wrong(findings, "O-SCOPE-ELSEWHERE", "leastElsewhere", elsewhere + " units in other zones are more than "
+                + "the " + perService + " of a service that perService allows", "name at most " + perService);
+        }
+        List<String> zones = told.plain("zones");
+        String zone = node.path("zone").asText(null);
+        if (zone != null && !zones.contains(zone)) {
+            wrong(findings, "O-SCOPE-ZONE", "zone", zone + " is no zone of this deployment", "name one of " + zones
+                + ", or leave it out where this relay stands in none");
+        }
+        // The seed is this relay's own as well, where nobody numbers the relays.
+        long numbered = node.path("number").asLong(told.charter().number());
+        long number = numbered < 0 ? told.charter().seed() : numbered;
+        JsonNode service = node.path("service");
+        ServiceName name = service.has("label") ? ServiceName.byLabel(service.get("label").asText())
+            : service.has("separator") ? ServiceName.before(service.get("separator").asText())
+            : ServiceName.ONE;
+        return new Membership(new Scope.Terms(number, zone == null ? -1 : zones.indexOf(zone), most, perService,
+            elsewhere, (long) (node.path("settleS").asDouble(SETTLE_S) * 1e6)), name,
+            node.path("mostListBytes").asLong(MOST_LIST_BYTES), node.toString());
+    }
+
+    private static void wrong(List<Finding> findings, String code, String field, String wrong, String mend) {
+        findings.add(new Finding(code, true, "/membership" + (field.isEmpty() ? "" : "/" + field), 0, 0, wrong, mend));
+    }
+
     private static Control control(JsonNode node, List<Finding> findings) {
         List<InetSocketAddress> services = new ArrayList<>();
         for (int i = 0; i < node.get("services").size(); i++) {
--- a/src/main/java/gatelock/boot/Rehearsal.java
+++ b/src/main/java/gatelock/boot/Rehearsal.java
@@ -63,7 +63,7 @@
         this.turn = turn;
         this.front = front;
         this.then = then;
-        this.chain = new Chain(told, turn, counters, front, null, null);
+        this.chain = new Chain(told, turn, counters, front, null, null, null);
         this.own = new Lines(turn, new Counters(), 1_000_000, 1_000_000, 0, AT_ONCE);
         this.mark = "rehearsal-" + Long.toHexString(told.charter().seed()) + "-";
     }
--- a/src/main/java/gatelock/boot/Service.java
+++ b/src/main/java/gatelock/boot/Service.java
@@ -2,6 +2,7 @@
 
 import gatelock.kept.Counters;
 import gatelock.session.Sessions;
+import gatelock.wire.Discovery;
 import gatelock.wire.Front;
 import gatelock.wire.Turn;
 
@@ -122,7 +123,7 @@
     private void readAnew() {
         try {
             Configuration now = Configuration.read(file);
-            Operator operatorNow = operator == null ? null : Operator.read(operatorsFile);
+            Operator operatorNow = operator == null ? null : Operator.read(operatorsFile, now);
             turn.soon(() -> move("SIGHUP", now, operatorNow));
         } catch (IOException e) {
             LOG.log(Level.WARNING, "SIGHUP, what was in force stays: " + e.getMessage());
@@ -164,6 +165,10 @@
         if (steering != null && operatorNow != null) {
             steering.move(operatorNow);
         }
+        if (operatorNow != null && !(operator.membership() == null ? operatorNow.membership() == null
+            : operator.membership().same(operatorNow.membership()))) {
+            LOG.log(Level.WARNING, "membership stays as it was until a restart");
+        }
     }
 
     private void run() {
@@ -207,8 +212,11 @@
         sessions = asked == null ? null : new Sessions(mostSessions, asked.opensPerUnit(), asked.drainUs(),
             new SplittableRandom(told.charter().seed() + 3));
         chain = new Chain(told, turn, counters, front, steering == null ? null : steering.admission,
-            sessions);
+            sessions, operator == null ? null : operator.membership());
         chain.start();
+        if (steering != null) {
+            steering.shows(chain::listState);
+        }
         chain.whenFailed(this::lookAgain);
     }
 
@@ -235,10 +243,17 @@
         Runtime.getRuntime().halt(2);
     }
 
+    /** How the list stands, where a scope is taken from it. */
+    private String listed() {
+        Discovery.State list = chain.listState();
+        return list.scoped() ? "; " + list + ", last change " + (turn.nowUs() - list.changedUs()) / 1_000_000
+            + " s ago" : "";
+    }
+
     private void tellCounters() {
         LOG.log(Level.INFO, counters + "; open reqs " + chain.open.size() + ", clients " + front.size()
             + ", units "
-            + chain.units);
+            + chain.units + listed());
         turn.in(COUNTERS_EVERY_US, this::tellCounters);
     }
 }
--- a/src/main/java/gatelock/boot/Steering.java
+++ b/src/main/java/gatelock/boot/Steering.java
@@ -9,6 +9,7 @@
 import gatelock.plan.Backoff;
 import gatelock.plan.Compiler;
 import gatelock.plan.Succession;
+import gatelock.wire.Discovery;
 import gatelock.wire.Lines;
 import gatelock.wire.Turn;
 
@@ -18,6 +19,7 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 
 /**
  * Versioned configuration put together as the operator's file asks for it: stream, versions on disk,
@@ -116,6 +118,11 @@
         }
     }
 
+    /** Shows the list of units to operators. */
+    void shows(Supplier<Discovery.State> list) {
+        window.shows(list);
+    }
+
     /** Follows the control services that the operator's file names now. */
     void move(Operator to) {
         if (to.control() != null) {
--- a/src/main/java/gatelock/control/Window.java
+++ b/src/main/java/gatelock/control/Window.java
@@ -4,6 +4,7 @@
 import gatelock.plan.Plan;
 import gatelock.plan.Stamp;
 import gatelock.plan.Succession;
+import gatelock.wire.Discovery;
 import gatelock.wire.Turn;
 
 import com.fasterxml.jackson.jr.ob.JSON;
@@ -46,6 +47,7 @@
     private final Counters counters;
     private final Steward steward;
     private final Supplier<Subscription> subscription;
+    private Supplier<Discovery.State> list;
     private AcceptingChannel<StreamConnection> listener;
 
     public Window(Turn turn, Counters counters, Steward steward, Supplier<Subscription> subscription) {
@@ -55,6 +57,11 @@
         this.subscription = subscription;
     }
 
+    /** Shows the list of units too. */
+    public void shows(Supplier<Discovery.State> list) {
+        this.list = list;
+    }
+
     /** Listens, and tells where. */
     public InetSocketAddress listen(InetSocketAddress address) throws IOException {
         OptionMap http = OptionMap.builder().set(UndertowOptions.MAX_HEADER_SIZE, 8 * 1024)
@@ -114,11 +121,27 @@
             status.put("silentForS", (nowUs - stream.heardUs()) / 1_000_000);
             status.put("failures", stream.failures());
         }
+        if (list != null) {
+            status.put("list", listed(nowUs, list.get()));
+        }
         status.put("admission", steward.admission().state(nowUs));
         status.put("counters", counters.toString());
         return status;
     }
 
+    private static Map<String, Object> listed(long nowUs, Discovery.State list) {
+        Map<String, Object> said = new LinkedHashMap<>();
+        said.put("units", list.listed());
+        said.put("byScope", list.scoped());
+        said.put("inScope", list.inScope());
+        said.put("services", list.services());
+        said.put("index", list.index());
+        said.put("lastChangeMs", list.changedUs() < 0 ? null : list.changedUs() / 1_000);
+        said.put("unchangedForS", list.changedUs() < 0 ? null : (nowUs - list.changedUs()) / 1_000_000);
+        said.put("tooLong", list.tooLong());
+        return said;
+    }
+
     private List<Map<String, Object>> history() {
         List<Map<String, Object>> history = new ArrayList<>();
         for (Succession.Past p : steward.succession().history()) {
--- a/src/main/java/gatelock/kept/Addresses.java
+++ b/src/main/java/gatelock/kept/Addresses.java
@@ -21,6 +21,11 @@
         return places.get(unit);
     }
 
+    /** How many units are known. */
+    public int size() {
+        return places.size();
+    }
+
     /** Notes an entry; returns the addresses to which standing connections serve no more. */
     public List<InetSocketAddress> put(InetSocketAddress address, Listed listed) {
         Place place = new Place(address, listed);
--- a/src/main/java/gatelock/wire/AnswerReader.java
+++ b/src/main/java/gatelock/wire/AnswerReader.java
@@ -8,7 +8,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
-import java.util.function.Consumer;
 import java.util.regex.Pattern;
 
 /**
@@ -32,7 +31,7 @@
 
     private enum Part { STATUS, HEADERS, BODY, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILERS, WHOLE }
 
-    private final Consumer<byte[]> parts;
+    private final Parts parts;
     private final int mostBody;
     private final ByteArrayOutputStream line = new ByteArrayOutputStream(128);
     private final ByteArrayOutputStream body = new ByteArrayOutputStream(512);
@@ -47,7 +46,7 @@
      * @param parts takes the body piece by piece as it comes; null: the body is held whole
      * @param mostBody that a body held whole may have
      */
-    AnswerReader(Consumer<byte[]> parts, int mostBody) {
+    AnswerReader(Parts parts, int mostBody) {
         this.parts = parts;
         this.mostBody = mostBody;
     }
@@ -90,7 +89,7 @@
         byte[] some = new byte[(int) Math.min(left, in.remaining())];
         in.get(some);
         if (parts != null) {
-            parts.accept(some);
+            parts.take(some);
         } else {
             if (body.size() + some.length > mostBody) {
                 throw new TooLongAnswer("at least " + (body.size() + some.length), mostBody);
@@ -181,6 +180,9 @@
             left = number(length, 10);
             part = left == 0 ? Part.WHOLE : Part.BODY;
         }
+        if (parts != null) {
+            parts.begins(status, coding == null ? left : -1);
+        }
     }
 
     /**
--- a/src/main/java/gatelock/wire/Discovery.java
+++ b/src/main/java/gatelock/wire/Discovery.java
@@ -3,7 +3,10 @@
 import gatelock.kept.Addresses;
 import gatelock.kept.Counters;
 import gatelock.kept.UnitAnswer;
+import gatelock.membership.Entry;
+import gatelock.membership.Scope;
 import gatelock.plan.Admission;
+import gatelock.relay.Ending;
 import gatelock.relay.Gate;
 import gatelock.relay.Listed;
 
@@ -12,6 +15,7 @@
 import java.io.IOException;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -34,22 +38,25 @@
      * Harms where a list is short enough again at once: that is heard by so much later.
      */
     private static final long TOO_LONG_RETRY_US = 500_000;
-    private static final int MOST_LABELS = 32;
+    /**
+     * A list that is read by scope may be of many megabytes and take as long as the way to it needs. Guards instead
+     * against one that no longer comes: so long without a byte of it, and so long in all, as a list that trickles
+     * in forever is none. Harms where a pause is longer and would have ended: the list is asked for again.
+     */
+    private static final long PIECE_US = 1_000_000;
+    private static final long WHOLE_US = 30_000_000;
+    private static final long SCOPE_LOOK_US = 250_000;
     /** Of a list's answer: 1,024 units and twice as many that leave, with names of usual length. */
     public static final int MOST_LIST = 2 * 1024 * 1024;
-    /** How far a unit's start may lie ahead of this relay's clock. */
-    private static final long AHEAD_US = 60_000_000;
     private static final String TOO_LONG = "too long";
-    private static final Map<String, Listed.Health> HEALTH = Map.of("in_service", Listed.Health.READY,
-        "terminating", Listed.Health.DRAINING, "terminated", Listed.Health.GONE);
 
     private final Turn turn;
     private final Counters counters;
     private final Lines lines;
     private final Addresses addresses;
     private final Lines units;
-    private final List<String> zones;
-    private final List<String> kinds;
+    private final EntryReader reader;
+    private final Membership membership;
     private final boolean onRequest;
     private final RandomGenerator chance;
     private InetSocketAddress address;
@@ -66,23 +73,48 @@
     private Runnable whenFailed = () -> { };
     /** Why the last answer was not taken in; null: it was. The same again is not said again. */
     private String unread;
+    private long changedUs = -1;
+    private long tooLong;
+
+    /**
+     * The units that this relay uses of those that are listed.
+     *
+     * @param mostListBytes that an answer with a list may have
+     */
+    public record Membership(Scope scope, ServiceName service, long mostListBytes) {
+    }
+
+    /**
+     * For the operators; without a scope, all that is listed is in scope.
+     *
+     * @param changedUs when the list or scope last changed, -1: never
+     * @param tooLong lists that were too long to be taken
+     */
+    public record State(boolean scoped, int listed, int inScope, int services, long index, long changedUs,
+                        long tooLong) {
+        @Override
+        public String toString() {
+            return "list " + index + " of " + listed + " units in " + services + " services, " + inScope + " in scope";
+        }
+    }
 
     /**
      * @param units connections to units, closed where a unit leaves or returns as another
      * @param onRequest whether the list is followed only when asked for, and a failure is told
+     * @param membership null: all units that are listed are used
      */
     public Discovery(Turn turn, Counters counters, Lines lines, InetSocketAddress address,
         Addresses addresses,
                      Lines units, List<String> zones, List<String> kinds, boolean onRequest,
-                     RandomGenerator chance) {
+                     RandomGenerator chance, Membership membership) {
         this.turn = turn;
         this.counters = counters;
         this.lines = lines;
         this.address = address;
         this.addresses = addresses;
         this.units = units;
-        this.zones = zones;
-        this.kinds = kinds;
+        this.reader = new EntryReader(zones, kinds, membership == null ? ServiceName.ONE : membership.service);
+        this.membership = membership;
         this.onRequest = onRequest;
         this.chance = chance;
     }
@@ -91,7 +123,14 @@
     public void start(Gate gate, Admission admission, Json known) throws IOException {
         this.gate = gate;
         this.admission = admission;
-        listed(Gate.ListForm.CACHED, entries(known), false);
+        List<Entry> entries = entries(known);
+        if (membership != null) {
+            Scope.Reading reading = membership.scope.read(true);
+            entries.forEach(reading::add);
+            entries = reading.take(turn.nowUs(), known.wholeOr("index", 0)).entries();
+            turn.in(SCOPE_LOOK_US, this::look);
+        }
+        listed(Gate.ListForm.CACHED, entries, false);
         if (!onRequest) {
             follow();
         }
@@ -152,9 +191,14 @@
         askedFirstUs = askedFirstUs == Long.MIN_VALUE ? turn.nowUs() : askedFirstUs;
         String path = watch ? "/api/targets?from=" + index + "&hold_ms=" + HOLD_MS : "/api/targets";
         String call = "GET " + path + " HTTP/1.1\r\nHost: discovery\r\n\r\n";
-        line = lines.call(address, StandardCharsets.US_ASCII.encode(call), GRACE_US + (watch ? HOLD_MS * 1000
-            : 0),
-            new Asked());
+        ByteBuffer bytes = StandardCharsets.US_ASCII.encode(call);
+        long answerUs = GRACE_US + (watch ? HOLD_MS * 1000 : 0);
+        if (membership == null) {
+            line = lines.call(address, bytes, answerUs, new Asked());
+        } else {
+            AskedByScope asked = new AskedByScope(!watch);
+            line = lines.call(address, bytes, new Line.Patience(answerUs, PIECE_US, WHOLE_US), asked, asked);
+        }
     }
 
     /** Takes in an answer; one that is bad anywhere changes nothing. */
@@ -167,31 +211,41 @@
             List<Entry> entries = entries(list);
             boolean whole = list.yes("snapshot");
             unread = null;
-            index = list.whole("index");
-            // The next watch goes out at once, on the same connection: changes in between count as told.
-            InetSocketAddress from = address;
-            turn.soon(() -> {
-                if (from.equals(address)) {
-                    ask();
-                }
-            });
-            if (whole || !entries.isEmpty()) {
-                listed(whole ? Gate.ListForm.FULL : Gate.ListForm.DELTA, entries, whole);
-            }
-            heard = true;
-            listed();
+            taken(list.whole("index"), whole || !entries.isEmpty(), () ->
+                listed(whole ? Gate.ListForm.FULL : Gate.ListForm.DELTA, entries, whole));
             return true;
         } catch (IOException e) {
-            if (!e.getMessage().equals(unread)) {
-                LOG.log(Level.WARNING, "discovery, what was listed stays: " + e.getMessage());
-                unread = e.getMessage();
-            }
-            counters.add("discovery failed");
-            without("discovery's list can't be taken, " + unread, RETRY_US);
+            bad(e.getMessage());
             return false;
         }
     }
 
+    /** A good list has come: asks for what changes from there, and tells it. */
+    private void taken(long index, boolean changes, Runnable tell) {
+        this.index = index;
+        // The next watch goes out at once, on the same connection: changes in between count as told.
+        InetSocketAddress from = address;
+        turn.soon(() -> {
+            if (from.equals(address)) {
+                ask();
+            }
+        });
+        if (changes) {
+            tell.run();
+        }
+        heard = true;
+        listed();
+    }
+
+    private void bad(String why) {
+        if (!why.equals(unread)) {
+            LOG.log(Level.WARNING, "discovery, what was listed stays: " + why);
+            unread = why;
+        }
+        counters.add("discovery failed");
+        without("discovery's list can't be taken, " + unread, RETRY_US);
+    }
+
     private void failed() {
         counters.add("discovery failed");
         without("discovery is silent", RETRY_US);
@@ -203,9 +257,11 @@
      */
     private void tooLong(String why) {
         counters.add("lists too long");
+        tooLong++;
         if (!TOO_LONG.equals(unread)) {
             LOG.log(Level.WARNING, "discovery's list is too long: " + why + ", what was listed stays; "
-                + "have fewer units listed to this relay");
+                + (membership == null ? "name a scope (membership) in the operator's file"
+                : "raise membership.mostListBytes in the operator's file") + ", or have fewer units listed");
             unread = TOO_LONG;
         }
         index = -1;
@@ -227,79 +283,79 @@
         }
     }
 
-    private record Entry(InetSocketAddress where, Listed listed, Map<String, String> labels) {
-    }
-
     /** Tells whoever chooses among units, pools before the decisions. */
     private void listed(Gate.ListForm form, List<Entry> entries, boolean whole) {
         List<Listed> listed = entries.stream().map(Entry::listed).toList();
-        List<InetSocketAddress> left = noted(entries, whole);
+        List<InetSocketAddress> left = noted(entries, listed, whole);
         if (admission != null) {
             Map<String, Map<String, String>> labels = new HashMap<>();
-            entries.stream().filter(e -> !e.labels.isEmpty()).forEach(e -> labels.put(e.listed.unit(),
-                e.labels));
+            entries.stream().filter(e -> !e.labels().isEmpty()).forEach(e -> labels.put(e.name(), e.labels()));
             admission.listed(turn.nowUs(), form, listed, labels);
         }
         gate.listed(turn.nowUs(), form, listed);
+        changedUs = turn.nowUs();
         // Only now: whoever waits for a connection to come up asks the decisions whether it may still go.
         left.forEach(units::close);
     }
 
-    /** Labels are our own addition to an entry; what is no text under them is left out. */
-    private static Map<String, String> labels(Json entry) {
-        if (!(entry.fields().get("labels") instanceof Map<?, ?> borne)) {
-            return Map.of();
+    /** The same of what this relay uses; nothing where that has not changed. */
+    private void listed(Scope.Change change) {
+        if (change.whole() || !change.entries().isEmpty()) {
+            listed(change.whole() ? Gate.ListForm.FULL : Gate.ListForm.DELTA, change.entries(), change.whole());
         }
-        Map<String, String> labels = new HashMap<>();
-        borne.forEach((name, value) -> {
-            if (value instanceof String text && labels.size() < MOST_LABELS) {
-                labels.put(String.valueOf(name), text);
-            }
-        });
-        return labels;
+    }
+
+    /** The scope's turn has come: it may grow or shrink by what was heard of its units. */
+    private void look() {
+        listed(membership.scope.due(turn.nowUs()));
+        turn.in(SCOPE_LOOK_US, this::look);
+    }
+
+    /** A try at a unit has ended. */
+    public void ended(String unit, Ending ending) {
+        if (membership != null && ending != Ending.CANCELLED && ending != Ending.NOT_SENT) {
+            boolean heard = ending == Ending.COMPLETED || ending == Ending.ERRORED || ending == Ending.TURNED_AWAY;
+            membership.scope.ended(turn.nowUs(), unit, heard);
+        }
+    }
+
+    public State state() {
+        Scope scope = membership == null ? null : membership.scope;
+        int used = addresses.size();
+        return new State(scope != null, scope == null ? used : scope.listed(), scope == null ? used : scope.inScope(),
+            scope == null ? 1 : scope.services(), index, scope == null ? changedUs
+            : Math.max(changedUs, scope.changedUs()), tooLong);
     }
 
     private List<Entry> entries(Json list) throws IOException {
         List<Entry> entries = new ArrayList<>();
         Set<String> names = new HashSet<>();
         for (Json e : list.objects("endpoints")) {
-            String unit = e.text("name");
-            Listed.Health health = HEALTH.get(e.text("status"));
-            if (health == null) {
-                throw new IOException("expected a known status for " + unit);
-            }
-            if (!names.add(unit)) {
-                throw new IOException("expected each unit once, found twice " + unit);
+            Entry entry = reader.read(e, turn.nowUs());
+            if (!names.add(entry.name())) {
+                throw new IOException("expected each unit once, found twice " + entry.name());
             }
-            long startUs = e.wholeOr("since_ms", 0) * 1000;
-            if (startUs > turn.nowUs() + AHEAD_US) {
-                throw new IOException("expected a start that has been for " + unit);
-            }
-            entries.add(new Entry(e.address("address"), new Listed(unit, e.count("image_id"),
-                number(zones, e, "zone"), number(kinds, e, "type"), (int) e.wholeOr("group", 0), health,
-                startUs), labels(e)));
+            entries.add(entry);
         }
         return entries;
     }
 
     /** Notes where the units are; returns the addresses to which what stands serves no more. */
-    private List<InetSocketAddress> noted(List<Entry> entries, boolean whole) {
+    private List<InetSocketAddress> noted(List<Entry> entries, List<Listed> listed, boolean whole) {
         List<InetSocketAddress> left = new ArrayList<>();
-        entries.forEach(e -> left.addAll(addresses.put(e.where, e.listed)));
+        for (int i = 0; i < entries.size(); i++) {
+            left.addAll(addresses.put(Json.resolved(entries.get(i).address()), listed.get(i)));
+        }
         if (whole) {
-            left.addAll(addresses.keepOnly(entries.stream().map(e -> e.listed.unit())
-                .collect(Collectors.toSet())));
+            left.addAll(addresses.keepOnly(entries.stream().map(Entry::name).collect(Collectors.toSet())));
         }
         return left;
     }
 
-    private static int number(List<String> names, Json entry, String field) {
-        return Math.max(0, names.indexOf(entry.textOr(field, "")));
-    }
-
     /** One call for the list. */
-    private final class Asked implements Line.User {
+    private class Asked implements Line.User {
         private String tooLong;
+        private String unreadable;
 
         @Override
         public boolean answered(UnitAnswer answer) {
@@ -308,13 +364,26 @@
 
         @Override
         public void broken(boolean written) {
-            if (tooLong == null) {
-                failed();
-            } else {
+            String why = unreadable != null ? unreadable : brokenOff();
+            if (tooLong != null) {
                 Discovery.this.tooLong(tooLong);
+            } else if (why != null) {
+                bad(why);
+            } else {
+                failed();
             }
         }
 
+        /** Why a list that has begun is none; null: none has. */
+        String brokenOff() {
+            return null;
+        }
+
+        @Override
+        public void unreadable(String why) {
+            unreadable = why;
+        }
+
         @Override
         public void tooLong(String why) {
             tooLong = why;
@@ -325,4 +394,92 @@
             failed();
         }
     }
+
+    /** One call for a list that is read as it comes; it counts only once it has come to a good end. */
+    private final class AskedByScope extends Asked implements Parts, ListReader.Taker {
+        private final boolean wholeAsked;
+        private ListReader list;
+        private long cameBytes;
+        private Scope.Reading reading;
+        private boolean none = true;
+
+        AskedByScope(boolean wholeAsked) {
+            this.wholeAsked = wholeAsked;
+        }
+
+        @Override
+        public void begins(int status, long bytes) throws UnreadableAnswer {
+            if (status != 200) {
+                throw new UnreadableAnswer("status " + status);
+            }
+            if (bytes > membership.mostListBytes) {
+                throw new TooLongAnswer("" + bytes, membership.mostListBytes);
+            }
+            list = new ListReader(wholeAsked, this);
+        }
+
+        @Override
+        public void take(byte[] some) throws UnreadableAnswer {
+            cameBytes += some.length;
+            if (cameBytes > membership.mostListBytes) {
+                throw new TooLongAnswer("at least " + cameBytes, membership.mostListBytes);
+            }
+            try {
+                list.read(some);
+            } catch (IOException e) {
+                throw new UnreadableAnswer(e.getMessage());
+            }
+        }
+
+        @Override
+        public void begins(boolean whole) {
+            reading = membership.scope.read(whole);
+        }
+
+        @Override
+        public void entry(Json entry) throws IOException {
+            Entry read = reader.read(entry, turn.nowUs());
+            none = false;
+            try {
+                reading.add(read);
+            } catch (IllegalArgumentException e) {
+                throw new IOException(e.getMessage(), e);
+            }
+        }
+
+        @Override
+        public boolean answered(UnitAnswer answer) {
+            try {
+                ListReader.Frame frame = list.end();
+                unread = null;
+                // A watch that ended without a change is none.
+                taken(frame.index(), frame.whole() || !none, () -> {
+                    listed(reading.take(turn.nowUs(), frame.index()));
+                    if (frame.whole()) {
+                        LOG.log(Level.INFO, state().toString());
+                    }
+                });
+                return true;
+            } catch (IOException e) {
+                // Asked for as a whole list it can be read, whatever it tells where.
+                index = list.mistaken() ? -1 : index;
+                bad(e.getMessage());
+                return false;
+            }
+        }
+
+        @Override
+        String brokenOff() {
+            return list == null ? null : "the list broke off";
+        }
+
+        @Override
+        public void late() {
+            if (list == null) {
+                failed();
+            } else {
+                bad("the list stopped for " + PIECE_US / 1_000 + " ms, or took longer than " + WHOLE_US / 1_000 + " ms");
+            }
+        }
+    }
 }
--- /dev/null
+++ b/src/main/java/gatelock/wire/EntryReader.java
@@ -0,0 +1,62 @@
+package gatelock.wire;
+
+import gatelock.membership.Entry;
+import gatelock.relay.Listed;
+
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** What an entry of a list means; the one place where its form is checked. */
+final class EntryReader {
+    private static final int MOST_LABELS = 32;
+    /** How far a unit's start may lie ahead of this relay's clock. */
+    private static final long AHEAD_US = 60_000_000;
+    private static final Map<String, Listed.Health> HEALTH = Map.of("in_service", Listed.Health.READY,
+        "terminating", Listed.Health.DRAINING, "terminated", Listed.Health.GONE);
+
+    private final List<String> zones;
+    private final List<String> kinds;
+    private final ServiceName service;
+
+    EntryReader(List<String> zones, List<String> kinds, ServiceName service) {
+        this.zones = zones;
+        this.kinds = kinds;
+        this.service = service;
+    }
+
+    /** An entry whose address is of the right form, and not looked up yet. */
+    Entry read(Json e, long nowUs) throws IOException {
+        String unit = e.text("name");
+        Listed.Health health = HEALTH.get(e.text("status"));
+        if (health == null) {
+            throw new IOException("expected a known status for " + unit);
+        }
+        long startUs = e.wholeOr("since_ms", 0) * 1000;
+        if (startUs > nowUs + AHEAD_US) {
+            throw new IOException("expected a start that has been for " + unit);
+        }
+        Map<String, String> labels = labels(e);
+        return new Entry(unit, service.of(unit, e, labels), e.addressText("address"), number(zones, e, "zone"),
+            number(kinds, e, "type"), (int) e.wholeOr("group", 0), e.count("image_id"), health, startUs, labels);
+    }
+
+    /** Labels are our own addition to an entry; what is no text under them is left out. */
+    private static Map<String, String> labels(Json entry) {
+        if (!(entry.fields().get("labels") instanceof Map<?, ?> borne)) {
+            return Map.of();
+        }
+        Map<String, String> labels = new HashMap<>();
+        borne.forEach((name, value) -> {
+            if (value instanceof String text && labels.size() < MOST_LABELS) {
+                labels.put(String.valueOf(name), text);
+            }
+        });
+        return labels;
+    }
+
+    private static int number(List<String> names, Json entry, String field) {
+        return Math.max(0, names.indexOf(entry.textOr(field, "")));
+    }
+}
--- a/src/main/java/gatelock/wire/Json.java
+++ b/src/main/java/gatelock/wire/Json.java
@@ -60,11 +60,18 @@
 
     /** Text of the form address:port. */
     public InetSocketAddress address(String name) throws IOException {
+        return resolved(addressText(name));
+    }
+
+    /** The same as it stands there, its form checked and its host not looked up. */
+    String addressText(String name) throws IOException {
         String text = text(name);
         int colon = text.lastIndexOf(':');
         try {
             if (colon > 0) {
-                return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+                InetSocketAddress.createUnresolved(text.substring(0, colon),
+                    Integer.parseInt(text.substring(colon + 1)));
+                return text;
             }
         } catch (IllegalArgumentException e) {
             // falls through to the one message
@@ -72,6 +79,12 @@
         throw new IOException("expected address:port under " + name + ", found " + text);
     }
 
+    /** What a text whose form was checked names. */
+    static InetSocketAddress resolved(String text) {
+        int colon = text.lastIndexOf(':');
+        return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+    }
+
     public double number(String name) throws IOException {
         return within(need(name), -MOST_WHOLE, MOST_WHOLE, name).doubleValue();
     }
--- a/src/main/java/gatelock/wire/Line.java
+++ b/src/main/java/gatelock/wire/Line.java
@@ -12,13 +12,18 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
-import java.util.function.Consumer;
 
 /**
  * A connection that this relay opens, with one call on it at a time. It sends nothing twice, and it sees
  * whether a call's last byte was written: what ended before that has never run.
  */
 public final class Line {
+    /**
+     * Guards against an answer of many megabytes that comes faster than it is read, and would hold the thread and
+     * with it all reqs for as long: after so many pieces others have their turn. Could harm nothing but the answer,
+     * which goes on with the thread's next round.
+     */
+    private static final int PIECES_A_TURN = 4;
     private static final OptionMap OPTIONS = OptionMap.create(Options.TCP_NODELAY, true);
 
     /** Whoever made a call; hears once how it ended, never while the call is being made. */
@@ -47,6 +52,17 @@
         }
     }
 
+    /**
+     * How long a call may take, in microseconds: until its answer begins, then from one piece of it to the next,
+     * and in all; 0: as long as it likes.
+     */
+    record Patience(long beginUs, long pieceUs, long wholeUs) {
+        /** All of the answer within this time. */
+        static Patience of(long us) {
+            return new Patience(us, 0, us);
+        }
+    }
+
     private final Turn turn;
     private final Lines home;
     private final InetSocketAddress address;
@@ -56,6 +72,10 @@
     private XnioExecutor.Key callLimit;
     private ByteBuffer call;
     private AnswerReader reader;
+    private Parts parts;
+    private Patience patience;
+    private long beganUs;
+    private long cameUs;
     private User user;
     private boolean written;
     private boolean ended;
@@ -70,9 +90,9 @@
         return address;
     }
 
-    /** Opens the connection and makes the first call on it; without a {@code callUs} it may take any time. */
-    void open(long openUs, ByteBuffer call, long callUs, Consumer<byte[]> parts, User user) {
-        begin(call, callUs, parts, user);
+    /** Opens the connection and makes the first call on it. */
+    void open(long openUs, ByteBuffer call, Patience patience, Parts parts, User user) {
+        begin(call, patience, parts, user);
         openLimit = turn.in(openUs, () -> {
             if (connection == null) {
                 end();
@@ -88,17 +108,21 @@
     }
 
     /** Makes one more call on a connection that stands idle. */
-    void call(ByteBuffer call, long callUs, User user) {
-        begin(call, callUs, null, user);
+    void call(ByteBuffer call, Patience patience, Parts parts, User user) {
+        begin(call, patience, parts, user);
         write();
     }
 
-    private void begin(ByteBuffer call, long callUs, Consumer<byte[]> parts, User user) {
-        if (callUs > 0) {
-            callLimit = turn.in(callUs, () -> overdue(user));
+    private void begin(ByteBuffer call, Patience patience, Parts parts, User user) {
+        if (patience.beginUs > 0) {
+            callLimit = turn.in(patience.beginUs, () -> overdue(user));
         }
         this.call = call;
         this.user = user;
+        this.parts = parts;
+        this.patience = patience;
+        beganUs = turn.nowUs();
+        cameUs = 0;
         reader = new AnswerReader(parts, home.mostBody());
         written = false;
     }
@@ -112,7 +136,14 @@
         if (connection != null && written) {
             read();
         }
-        if (user == caller) {
+        if (user != caller) {
+            return;
+        }
+        long leftUs = cameUs == 0 ? 0
+            : Math.min(cameUs + patience.pieceUs, beganUs + patience.wholeUs) - turn.nowUs();
+        if (leftUs > 0) {
+            callLimit = turn.in(leftUs, () -> overdue(caller));
+        } else {
             drop();
             caller.late();
         }
@@ -166,7 +197,7 @@
 
     private void read() {
         try {
-            while (!ended) {
+            for (int pieces = 0; !ended && (parts == null || pieces < PIECES_A_TURN); pieces++) {
                 ByteBuffer in = turn.reading();
                 int n = connection.getSourceChannel().read(in);
                 if (n == 0) {
@@ -178,6 +209,9 @@
                     return;
                 }
                 in.flip();
+                if (patience.pieceUs > 0) {
+                    cameUs = turn.nowUs();
+                }
                 reader.read(in);
                 if (reader.whole() && !written) {
                     // What answers a call that has not come whole answers another, or none.
--- a/src/main/java/gatelock/wire/Lines.java
+++ b/src/main/java/gatelock/wire/Lines.java
@@ -11,7 +11,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.Consumer;
 
 /** The connections that this relay opens to one kind of party, kept between calls. */
 public final class Lines {
@@ -75,23 +74,28 @@
 
     /** Makes one call, on a connection that stands or on a new one; it is given up after {@code callUs}. */
     public Line call(InetSocketAddress address, ByteBuffer call, long callUs, Line.User user) {
+        return call(address, call, Line.Patience.of(callUs), null, user);
+    }
+
+    /** The same of an answer whose body {@code parts} takes as it comes, and which may take its time. */
+    Line call(InetSocketAddress address, ByteBuffer call, Line.Patience patience, Parts parts, Line.User user) {
         long restedUs = turn.nowUs() - restUs;
         for (Line line = idle.take(address, restedUs); line != null; line = idle.take(address, restedUs)) {
             if (line.stands()) {
-                line.call(call, callUs, user);
+                line.call(call, patience, parts, user);
                 return line;
             }
             line.drop();
         }
-        return open(address, call, callUs, null, user);
+        return open(address, call, patience, parts, user);
     }
 
     /** Makes one call of any length on a connection of its own; {@code parts} takes its body as it comes. */
-    Line stream(InetSocketAddress address, ByteBuffer call, Consumer<byte[]> parts, Line.User user) {
-        return open(address, call, 0, parts, user);
+    Line stream(InetSocketAddress address, ByteBuffer call, Parts parts, Line.User user) {
+        return open(address, call, Line.Patience.of(0), parts, user);
     }
 
-    private Line open(InetSocketAddress address, ByteBuffer call, long callUs, Consumer<byte[]> parts,
+    private Line open(InetSocketAddress address, ByteBuffer call, Line.Patience patience, Parts parts,
                       Line.User user) {
         counters.add("connections opened");
         if (open >= most) {
@@ -100,7 +104,7 @@
         open++;
         Line line = new Line(turn, this, address);
         comingUp.computeIfAbsent(address, a -> new LinkedHashSet<>()).add(line);
-        line.open(openWithinUs, call, callUs, parts, user);
+        line.open(openWithinUs, call, patience, parts, user);
         return line;
     }
 
--- /dev/null
+++ b/src/main/java/gatelock/wire/Parts.java
@@ -0,0 +1,12 @@
+package gatelock.wire;
+
+/** Takes an answer's body piece by piece as it comes, so that nobody holds it whole. */
+interface Parts {
+
+    /** The head has come; {@code bytes}: of the body, -1 where that is not told. */
+    default void begins(int status, long bytes) throws UnreadableAnswer {
+    }
+
+    /** The next piece, never empty. */
+    void take(byte[] some) throws UnreadableAnswer;
+}
--- a/src/main/java/gatelock/wire/RouteOut.java
+++ b/src/main/java/gatelock/wire/RouteOut.java
@@ -21,7 +21,7 @@
         if (req.opening() != null) {
             req.opening().send(address, unit, timeoutUs);
         } else {
-            sendOff.send(req, address, timeoutUs);
+            sendOff.send(req, unit, address, timeoutUs);
         }
     }
 }
--- a/src/main/java/gatelock/wire/SendOff.java
+++ b/src/main/java/gatelock/wire/SendOff.java
@@ -7,6 +7,7 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.function.BiConsumer;
 
 /** Fourth stage: one try goes out on a connection of its own for the time, and its ending is found. */
 public final class SendOff {
@@ -15,6 +16,7 @@
     private final Turn turn;
     private final Lines lines;
     private final Book book;
+    private BiConsumer<String, Ending> hears = (unit, ending) -> { };
 
     public SendOff(Turn turn, Lines lines, Book book) {
         this.turn = turn;
@@ -22,9 +24,14 @@
         this.book = book;
     }
 
+    /** Tells the unit and the ending of each try from now on. */
+    public void whenEnded(BiConsumer<String, Ending> hears) {
+        this.hears = hears;
+    }
+
     /** Numbers and sends a try; without an address it can't come to be connected. */
-    void send(OpenReq req, InetSocketAddress address, long timeoutUs) {
-        Try rev = new Try(req);
+    void send(OpenReq req, String unit, InetSocketAddress address, long timeoutUs) {
+        Try rev = new Try(req, unit);
         if (req.over() || turn.nowUs() >= req.endUs()) {
             rev.end(Ending.NOT_SENT, null);
         } else if (address == null) {
@@ -37,14 +44,16 @@
     /** One try. */
     private final class Try implements Line.User {
         private final OpenReq req;
+        private final String unit;
         private final int number;
         private final long sentUs = turn.nowUs();
         private Line line;
         private boolean ended;
         private boolean stopped;
 
-        Try(OpenReq req) {
+        Try(OpenReq req, String unit) {
             this.req = req;
+            this.unit = unit;
             this.number = req.addTry(this::callOff);
         }
 
@@ -98,6 +107,7 @@
 
         private void end(Ending ending, UnitAnswer answer) {
             ended = true;
+            hears.accept(unit, ending);
             book.ended(req, number, ending, turn.nowUs() - sentUs, answer);
         }
     }
--- a/src/test/java/gatelock/LongListsTest.java
+++ b/src/test/java/gatelock/LongListsTest.java
@@ -55,7 +55,7 @@
             }
         });
         all.awaitLog("discovery's list is too long: body of 3000000 bytes is longer than 2097152, what was listed "
-            + "stays; have fewer units listed to this relay");
+            + "stays; name a scope (membership) in the operator's file, or have fewer units listed");
         all.awaitLog("discovery's list is too long, what the configuration lists serves");
         all.awaitLog("serves on");
         passes("start", all.unit);
--- a/src/test/java/gatelock/boot/CommandsTest.java
+++ b/src/test/java/gatelock/boot/CommandsTest.java
@@ -1,6 +1,10 @@
 package gatelock.boot;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.catchThrowable;
+
+import gatelock.membership.Scope;
+import gatelock.wire.ServiceName;
 
 import com.fasterxml.jackson.jr.ob.JSON;
 
@@ -102,11 +106,63 @@
                 {"{\"control\": {\"services\": [\"127.0.0.1:99999\"]}}", "O-ADDRESS"},
                 {"{\"log\": {\"form\": \"xml\"}}", "S-ENUM"},
                 {"{\"lisener\": \"127.0.0.1:80\"}", "S-ADDITIONALPROPERTIES"}, {"{", "G-JSON"}}) {
-            Path file = Path.of(file("operator.json", odd[0]));
-            assertThat(org.assertj.core.api.Assertions.catchThrowable(() -> Operator.read(file))).as(odd[0])
-                .isInstanceOf(IOException.class).hasMessageContaining(file + ":")
-                .hasMessageContaining(odd[1]);
+            assertThat(refusal(odd[0])).as(odd[0]).contains(odd[1]);
         }
-        assertThat(Operator.read(Path.of("deploy/operator.json")).control()).isNotNull();
+        Operator read = Operator.read(Path.of("deploy/operator.json"), deployment());
+        assertThat(read.control()).isNotNull();
+        assertThat(read.membership()).as("off where none is named").isNull();
+    }
+
+    private static Configuration deployment() throws IOException {
+        return Configuration.read(Path.of("examples/relay.json"));
+    }
+
+    private String refusal(String text) throws IOException {
+        Path file = Path.of(file("operator.json", text));
+        Throwable wrong = catchThrowable(() -> Operator.read(file, deployment()));
+        assertThat(wrong).as(text).isInstanceOf(IOException.class).hasMessageContaining(file + ":");
+        return wrong.getMessage();
+    }
+
+    private static String membership(String more) {
+        return "{\"membership\": {\"most\": 40, \"perService\": 4" + more + "}}";
+    }
+
+    @Test
+    void aScopeThatCantBeIsRefusedWithItsPlaceCauseAndMend() throws IOException {
+        assertThat(refusal("{\"membership\": {\"perService\": 4}}")).contains(":1:16 /membership S-REQUIRED", "add most");
+        assertThat(refusal("{\"membership\": {\"most\": 40}}")).contains("S-REQUIRED", "add perService");
+        assertThat(refusal("{\"membership\": {\"most\": 3, \"perService\": 4}}")).contains(
+            ":1:42 /membership/perService O-SCOPE-SERVICE 4 units of one service are more than the 3", "at most 3");
+        assertThat(refusal(membership(", \"leastElsewhere\": 5"))).contains(
+            "/membership/leastElsewhere O-SCOPE-ELSEWHERE 5 units", "name at most 4");
+        assertThat(refusal(membership(", \"zone\": \"west\""))).contains(
+            "/membership/zone O-SCOPE-ZONE west is no zone of this deployment", "name one of [east]");
+        assertThat(refusal("{\"membership\": {\"most\": 1000000, \"perService\": 4}}")).contains(
+            "/membership/most O-SCOPE-HEAP this relay's heap bears ", "name at most ");
+        for (String odd : new String[] {", \"mostListBytes\": 1000", ", \"number\": -1", ", \"settleS\": -1",
+            ", \"leastElsewhere\": -1", ", \"service\": {}", ", \"service\": {\"label\": \"a\", \"separator\": \"-\"}",
+            ", \"service\": {\"separator\": \"\"}", ", \"zone\": 3", ", \"zones\": \"east\""}) {
+            assertThat(refusal(membership(odd))).contains(" S-", "/membership");
+        }
+        for (String most : new String[] {"0", "-1", "1.5", "\"all\"", "10000000"}) {
+            assertThat(refusal("{\"membership\": {\"most\": " + most + ", \"perService\": 1}}"))
+                .contains(":1:25 /membership/most S-");
+        }
+    }
+
+    @Test
+    void aScopeThatIsSoundIsReadAndWhatIsLeftOutHasItsDefault() throws IOException {
+        Operator.Membership read = Operator.read(Path.of(file("operator.json", membership(""))), deployment()).membership();
+        assertThat(read.terms()).isEqualTo(new Scope.Terms(deployment().charter().seed(), -1, 40, 4, 1, 10_000_000));
+        assertThat(read.mostListBytes()).isEqualTo(64 << 20);
+        assertThat(read.service()).isSameAs(ServiceName.ONE);
+        Operator.Membership all = Operator.read(Path.of(file("operator.json", "{\"membership\": {\"most\": 1024, "
+            + "\"perService\": 1, \"zone\": \"east\", \"number\": 17, \"settleS\": 0.5, \"mostListBytes\": 2097152, "
+            + "\"service\": {\"separator\": \"-\"}}}")), deployment()).membership();
+        assertThat(all.terms()).isEqualTo(new Scope.Terms(17, 0, 1024, 1, 0, 500_000));
+        assertThat(all.mostListBytes()).isEqualTo(2 << 20);
+        assertThat(all.service().of("cold-brew-17", null, Map.of())).isEqualTo("cold-brew");
+        assertThat(all.service().of("alone", null, Map.of())).isEmpty();
     }
 }
