--- a/src/main/java/gatelock/wire/AnswerReader.java
+++ b/src/main/java/gatelock/wire/AnswerReader.java
@@ -8,7 +8,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
-import java.util.function.Consumer;
 import java.util.regex.Pattern;
 
 /**
@@ -32,7 +31,7 @@
 
     private enum Part { STATUS, HEADERS, BODY, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILERS, WHOLE }
 
-    private final Consumer<byte[]> parts;
+    private final Parts parts;
     private final int mostBody;
     private final ByteArrayOutputStream line = new ByteArrayOutputStream(128);
     private final ByteArrayOutputStream body = new ByteArrayOutputStream(512);
@@ -47,7 +46,7 @@
      * @param parts takes the body piece by piece as it comes; null: the body is held whole
      * @param mostBody that a body held whole may have
      */
-    AnswerReader(Consumer<byte[]> parts, int mostBody) {
+    AnswerReader(Parts parts, int mostBody) {
         this.parts = parts;
         this.mostBody = mostBody;
     }
@@ -90,10 +89,10 @@
         byte[] some = new byte[(int) Math.min(left, in.remaining())];
         in.get(some);
         if (parts != null) {
-            parts.accept(some);
+            parts.take(some);
         } else {
             if (body.size() + some.length > mostBody) {
-                throw new UnreadableAnswer("body too long");
+                throw new TooLongAnswer("at least " + (body.size() + some.length), mostBody);
             }
             body.writeBytes(some);
         }
@@ -181,6 +180,9 @@
             left = number(length, 10);
             part = left == 0 ? Part.WHOLE : Part.BODY;
         }
+        if (parts != null) {
+            parts.begins(status, coding == null ? left : -1);
+        }
     }
 
     /**
@@ -205,7 +207,7 @@
             && text.chars().allMatch(c -> c < 128 && Character.digit(c, radix) >= 0);
         long found = form ? Long.parseLong(text, radix) : -1;
         if (parts == null && found > mostBody) {
-            throw new UnreadableAnswer("body of " + found + " bytes is longer than " + mostBody);
+            throw new TooLongAnswer((part == Part.CHUNK_SIZE ? "at least " : "") + found, mostBody);
         }
         if (found < 0) {
             throw new UnreadableAnswer("expected a length, found " + text);
