--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,5 @@
-.PHONY: build demo test lint run measure-plan measure-swarm measure-sessions measure-fleet measure-membership measure-list
+.PHONY: build demo test lint run measure-plan measure-swarm measure-sessions measure-fleet \
+	measure-membership measure-list measure-capacity
 
 build:
 	mvn -B -q -DskipTests package
@@ -54,3 +55,8 @@
 measure-list:
 	mvn -B -q -DskipTests package dependency:build-classpath -Dmdep.outputFile=target/test.classpath
 	java -cp "target/classes:target/test-classes:$$(cat target/test.classpath)" gatelock.standin.ListMeasure $(ROWS)
+# The slopes of docs/capacity/slopes.json, measured anew.
+measure-capacity:
+	mvn -B -q -DskipTests package dependency:build-classpath -Dmdep.outputFile=target/test.classpath
+	java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xmx4g -cp "target/classes:target/test-classes:$$(cat target/test.classpath)" \
+		gatelock.capacity.Slopes docs/capacity/slopes.json
