The simulated fleet has services, discovery's own records and a ladder of scale

Cause: nothing played more than some hundred relays with one service, and rule 3 was judged from what a relay heard. Records check each change at each relay, drains by discovery's own clock, holders of a unit. make scale STEP=... plays one step into docs/capacity/scale.json.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo test lint run measure-plan measure-swarm measure-sessions measure-fleet
+.PHONY: build demo test lint run measure-plan measure-swarm measure-sessions measure-fleet scale
 
 build:
 	mvn -B -q -DskipTests package
@@ -38,3 +38,15 @@
 measure-fleet:
 	mvn -B -q -DskipTests package dependency:build-classpath -Dmdep.outputFile=target/test.classpath
 	java -cp "target/classes:target/test-classes:$$(cat target/test.classpath)" gatelock.fleet.Rates 20
+
+# One step of the ladder with hollow relays, into docs/capacity/scale.json: STEP=1/1000, 1/100, 1/10, 1/3 or 1;
+# PLAY=day, rack, zone, restart or every; MODE=all, scope or both; RELAYS=N plays only so many of the step's.
+STEP ?= 1/1000
+PLAY ?= every
+MODE ?= all
+RELAYS ?= 0
+scale:
+	mvn -B -q -DskipTests package dependency:build-classpath -Dmdep.outputFile=target/test.classpath
+	java -Xmx12g -XX:+UseParallelGC -XX:ParallelGCThreads=3 \
+		-cp "target/classes:target/test-classes:$$(cat target/test.classpath)" gatelock.fleet.Scale \
+		$(STEP) $(PLAY) $(MODE) $(RELAYS) $$(git rev-parse --short HEAD)
--- a/src/test/java/gatelock/fleet/Fleet.java
+++ b/src/test/java/gatelock/fleet/Fleet.java
@@ -1,6 +1,7 @@
 package gatelock.fleet;
 
 import gatelock.decision.ReleaseGate;
+import gatelock.relay.Bounds;
 import gatelock.relay.Charter;
 import gatelock.relay.Ending;
 import gatelock.relay.Gate;
@@ -14,12 +15,16 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.stream.IntStream;
 
 /**
  * A fleet in simulated time: the real module of every relay, and a plain world of units, clients, a list that
@@ -61,6 +66,29 @@
         long badFromUs;
         double badFromBusy;
 
+        /** Where there are several, each req is for one, and reaches only that one's units. */
+        int services = 1;
+        /** Units of a service, and so its reqs, go with its rank to minus this. */
+        double serviceSkew;
+        /** Of all relays, so many are played, spread evenly over their numbers; 0: all. */
+        int relaysPlayed;
+        /** What a relay's link to discovery carries; 0: any amount, and a relay that starts knows the list. */
+        long linkBytesPerS;
+        /** Within this long every relay has a change that discovery could tell. */
+        long toldWithinUs = 7 * S;
+        /** From a drain until its process ends, and from a loss until discovery knows of it. */
+        long drainUs = 10 * S;
+        long lostSeenUs = 3 * S;
+        /** Whether a relay holds what its scope says, and not the whole list. */
+        boolean scoped;
+        /** Units of one service that a relay holds at the most, where it is scoped. */
+        int most = 8;
+        Fault fault = Fault.NONE;
+
+        int played() {
+            return relaysPlayed > 0 ? Math.min(relays, relaysPlayed) : relays;
+        }
+
         double able(long ageUs) {
             return Math.min(1, coldFrom + (1 - coldFrom) * Math.max(0, ageUs) / warmUs);
         }
@@ -70,12 +98,41 @@
         }
     }
 
+    /** A fault planted for the checker to find; it strikes the first relay, or the first unit. */
+    enum Fault { NONE, CHANGE_MISSED, DRAIN_LATE, HELD_BY_ALL }
+
+    /** A service: its reqs reach its units alone, as a pool of a plan has it. */
+    private record Service(String name, Set<String> names, double upTo) implements Bounds {
+        @Override
+        public boolean reaches(String unit) {
+            return names.contains(unit);
+        }
+
+        @Override
+        public int mostTries() {
+            return Integer.MAX_VALUE;
+        }
+
+        @Override
+        public long tryUs() {
+            return 0;
+        }
+
+        @Override
+        public boolean goesOn(long nowUs, Ending last) {
+            return true;
+        }
+    }
+
     private record Due(long atUs, long order, Runnable what) {
     }
 
     final Terms terms;
     final Records records = new Records();
     final Desk desk;
+    final Meter meter;
+    private final HollowDiscovery discovery;
+    private final List<Service> services = new ArrayList<>();
     private final SplittableRandom chance;
     private final PriorityQueue<Due> dues = new PriorityQueue<>((a, b) -> a.atUs != b.atUs
         ? Long.compare(a.atUs, b.atUs) : Long.compare(a.order, b.order));
@@ -93,26 +150,79 @@
     private int unitsEver;
 
     Fleet(Terms terms) {
+        this(terms, new Meter(false));
+    }
+
+    Fleet(Terms terms, Meter meter) {
         this.terms = terms;
+        this.meter = meter;
         this.chance = new SplittableRandom(terms.seed);
+        this.discovery = new HollowDiscovery(terms, records);
         this.desk = new Desk();
         nowUs = 100 * S;
+        addServices();
         for (int i = 0; i < terms.units; i++) {
-            units.put("u" + unitsEver, new Unit("u" + unitsEver++, 1, 0));
+            unit(1, 0, serviceOf(i));
         }
-        for (int i = 0; i < terms.relays; i++) {
+        discovery.holds(units.values().stream().map(Unit::entry).toList());
+        for (int i = 0; i < terms.played(); i++) {
             double weight = Math.pow(terms.uneven, chance.nextDouble() * 2 - 1);
-            relays.add(new Relay(i, weight));
+            relays.add(new Relay((int) ((long) i * terms.relays / terms.played()), weight));
         }
+        meter.heapBefore();
         double all = relays.stream().mapToDouble(r -> r.weight).sum();
         for (Relay r : relays) {
             r.perS = terms.reqsPerS * r.weight / all;
             r.start();
             r.arrive();
         }
+        meter.heapAfter();
         desk.look();
     }
 
+    /** Services by rank: the last one's share ends at 1. */
+    private void addServices() {
+        double all = IntStream.rangeClosed(1, terms.services).mapToDouble(this::weight).sum();
+        double upTo = 0;
+        for (int i = 1; i <= terms.services; i++) {
+            upTo += weight(i) / all;
+            services.add(new Service("s" + i, new HashSet<>(), i == terms.services ? 1 : upTo));
+        }
+    }
+
+    private double weight(int rank) {
+        return Math.pow(rank, -terms.serviceSkew);
+    }
+
+    /** The first units are one for each service, the rest go by the services' shares. */
+    private int serviceOf(int unit) {
+        return unit < terms.services ? unit : at((unit - terms.services + 0.5)
+            / (terms.units - terms.services));
+    }
+
+    private int at(double share) {
+        int low = 0;
+        int high = services.size() - 1;
+        while (low < high) {
+            int mid = (low + high) / 2;
+            if (services.get(mid).upTo > share) {
+                high = mid;
+            } else {
+                low = mid + 1;
+            }
+        }
+        return low;
+    }
+
+    /** A new process; where there are several services its name tells which one is its own. */
+    private Unit unit(int build, long startUs, int service) {
+        String name = (terms.services > 1 ? services.get(service).name + "-" : "") + "u" + unitsEver;
+        Unit u = new Unit(name, unitsEver++, build, startUs, service);
+        units.put(name, u);
+        services.get(service).names.add(name);
+        return u;
+    }
+
     long nowUs() {
         return nowUs;
     }
@@ -140,9 +250,15 @@
     List<String> broken() {
         quiet = true;
         run(20 * S);
+        records.endUs = nowUs;
+        discovery.countHolders(relays.size());
         return records.broken(terms);
     }
 
+    HollowDiscovery discovery() {
+        return discovery;
+    }
+
     /** Some of the units, chosen by chance, stand still again and again from now on. */
     void pauseSome(double share, long forUs, long everyUs) {
         for (Unit u : List.copyOf(units.values())) {
@@ -176,22 +292,109 @@
     List<Unit> launch(int build, int count) {
         List<Unit> fresh = new ArrayList<>();
         for (int i = 0; i < count; i++) {
-            Unit u = new Unit("u" + unitsEver++, build, nowUs);
-            units.put(u.name, u);
-            fresh.add(u);
-            records.starts.add(new Records.Start(u.name, terms.slots, nowUs));
+            fresh.add(unit(build, nowUs, 0));
         }
+        fresh.forEach(Unit::begins);
         tell(fresh);
         return fresh;
     }
 
+    /** Discovery's list has changed: every relay that is up is told, each when its link has carried it. */
     private void tell(List<Unit> changed) {
+        HollowDiscovery.Message message = discovery.changed(nowUs, changed.stream().map(Unit::entry).toList());
         long lateUs = 200 * MS + chance.nextLong(600 * MS);
         for (Relay r : relays) {
-            in(lateUs + chance.nextLong(300 * MS), () -> r.hears(changed));
+            long readyUs = nowUs + lateUs + chance.nextLong(300 * MS);
+            if (r.up) {
+                r.told(message, readyUs);
+            }
         }
     }
 
+    /** The whole list for a relay that has just started. */
+    private void tellWhole(Relay relay) {
+        relay.told(discovery.whole(nowUs), nowUs + 200 * MS + chance.nextLong(600 * MS));
+    }
+
+    // ---- What happens to machines -------------------------------------------------------------------------
+
+    /** A ready unit by chance. */
+    private Unit someUnit() {
+        List<Unit> ready = units.values().stream().filter(u -> u.health == Listed.Health.READY).toList();
+        return ready.get(chance.nextInt(ready.size()));
+    }
+
+    /** One unit is drained, ends, and another comes for it: three changes of the list. */
+    void replaceOne() {
+        Unit u = someUnit();
+        u.health = Listed.Health.DRAINING;
+        tell(List.of(u));
+        in(terms.drainUs, () -> {
+            u.ends();
+            u.health = Listed.Health.GONE;
+            tell(List.of(u));
+            in(2 * S, () -> launchFor(u.service));
+        });
+    }
+
+    /** One machine is lost, which discovery sees later, and another comes for it. */
+    void loseOne() {
+        Unit u = someUnit();
+        lose(List.of(u));
+        in(terms.lostSeenUs + 2 * S, () -> launchFor(u.service));
+    }
+
+    private void launchFor(int service) {
+        Unit fresh = unit(1, nowUs, service);
+        fresh.begins();
+        tell(List.of(fresh));
+    }
+
+    private void lose(List<Unit> lost) {
+        lost.forEach(Unit::lost);
+        in(terms.lostSeenUs, () -> {
+            List<Unit> still = lost.stream().filter(u -> u.lost).toList();
+            still.forEach(u -> u.health = Listed.Health.GONE);
+            tell(still);
+        });
+    }
+
+    /** Units under one switch, all in one zone, are lost and back cold. */
+    void loseRack(int zone, int count, long backUs) {
+        List<Unit> rack = units.values().stream().filter(u -> u.zone == zone).limit(count).toList();
+        lose(rack);
+        in(backUs, () -> comeBack(rack));
+    }
+
+    /** All units and relays of a zone are lost and back cold. */
+    void loseZone(int zone, long backUs) {
+        List<Unit> there = units.values().stream().filter(u -> u.zone == zone).toList();
+        relays.stream().filter(r -> r.zone() == zone).forEach(r -> r.kill(backUs));
+        lose(there);
+        in(backUs, () -> comeBack(there));
+    }
+
+    /** All units and relays are started anew, relays first, from the list that they knew; units zone by zone. */
+    void restartAll(long relaysBackUs, long unitsBackUs) {
+        List<Unit> all = List.copyOf(units.values());
+        relays.forEach(r -> r.kill(relaysBackUs));
+        all.forEach(Unit::lost);
+        for (int zone = 0; zone < terms.zones; zone++) {
+            int of = zone;
+            in(unitsBackUs + zone * 2 * S / terms.zones,
+                () -> comeBack(all.stream().filter(u -> u.zone == of).toList()));
+        }
+    }
+
+    private void comeBack(List<Unit> those) {
+        those.forEach(u -> {
+            u.health = Listed.Health.READY;
+            u.startUs = nowUs;
+            u.begins();
+        });
+        tell(those);
+    }
+
     private void drain(int build) {
         List<Unit> those = units.values().stream()
             .filter(u -> u.build == build && u.health == Listed.Health.READY).toList();
@@ -203,22 +406,55 @@
     final class Unit {
         final String name;
         final int build;
-        final long startUs;
+        private final int service;
+        private final int number;
+        private long startUs;
         private final double speed = 0.85 + 0.3 * chance.nextDouble();
         private final ArrayDeque<Work> waiting = new ArrayDeque<>();
         private Listed.Health health = Listed.Health.READY;
-        private final int zone = unitsEver % terms.zones;
+        private final int zone;
         private long silentUntilUs;
         private int busy;
+        /** Nothing that is sent there has an answer, or no connection comes up. */
+        private boolean lost;
+        private boolean ended;
+        /** Counts processes: what an earlier one had in work is gone. */
+        private int life;
 
-        Unit(String name, int build, long startUs) {
+        Unit(String name, int number, int build, long startUs, int service) {
             this.name = name;
+            this.number = number;
+            this.zone = (number + 1) % terms.zones;
             this.build = build;
             this.startUs = startUs;
+            this.service = service;
+        }
+
+        HollowDiscovery.Entry entry() {
+            return new HollowDiscovery.Entry(new Listed(name, build, zone, 0, 0, health, startUs),
+                services.get(service).name, number);
+        }
+
+        private void begins() {
+            lost = false;
+            life++;
+            busy = 0;
+            waiting.clear();
+            records.starts.add(new Records.Start(name, terms.slots, nowUs));
+        }
+
+        private void lost() {
+            lost = true;
+            life++;
+            busy = 0;
+            waiting.clear();
         }
 
-        Listed listed() {
-            return new Listed(name, build, zone, 0, 0, health, startUs);
+        /** Its process ends: what it had not finished is broken off. */
+        private void ends() {
+            ended = true;
+            waiting.forEach(w -> w.answer(Ending.BROKEN_OFF));
+            waiting.clear();
         }
 
         /** Stands still for a while: what it has and what comes waits. */
@@ -228,7 +464,12 @@
         }
 
         private void take(Work work) {
-            if (busy >= terms.slots && waiting.size() >= terms.queue) {
+            if (lost) {
+                return;
+            }
+            if (ended) {
+                work.answer(Ending.NOT_CONNECTED);
+            } else if (busy >= terms.slots && waiting.size() >= terms.queue) {
                 work.answer(Ending.TURNED_AWAY);
             } else {
                 waiting.add(work);
@@ -245,10 +486,13 @@
                 boolean isBad = build > 1 && nowUs - startUs >= terms.badFromUs
                     && busy > terms.badFromBusy * terms.slots;
                 boolean fails = isBad && chance.nextDouble() < terms.newFails;
+                int was = life;
                 in((long) (work.workUs * (isBad ? terms.newWork : 1) / able), () -> {
-                    busy--;
-                    work.answer(fails ? Ending.ERRORED : Ending.COMPLETED);
-                    next();
+                    if (was == life) {
+                        busy--;
+                        work.answer(ended ? Ending.BROKEN_OFF : fails ? Ending.ERRORED : Ending.COMPLETED);
+                        next();
+                    }
                 });
             }
         }
@@ -298,9 +542,15 @@
         private final Map<String, ArrayDeque<Long>> idle = new HashMap<>();
         private final List<Work> out = new ArrayList<>();
         private double perS;
+        private final BitSet held = new BitSet();
         private int life;
         private boolean up;
         private Gate gate;
+        /** When its link has carried all that it was given so far, and when the last of it is heard. */
+        private long linkFreeUs;
+        private long heardLastUs;
+        /** The list that it left behind on its disk when it ended. */
+        private List<HollowDiscovery.Entry> kept;
 
         Relay(int number, double weight) {
             this.number = number;
@@ -311,6 +561,10 @@
         void kill(long backUs) {
             up = false;
             life++;
+            kept = discovery.list();
+            records.heardNoMore(number);
+            linkFreeUs = 0;
+            heardLastUs = 0;
             open.keySet().forEach(id -> records.ended.put(id, nowUs));
             open.clear();
             idle.clear();
@@ -324,11 +578,67 @@
             Charter charter = new Charter(terms.seed * 1000 + number * 31L + life, terms.relays, number,
                 routes, List.of(), 1, 5, true, true, 2 * S, false, terms.coldFrom, terms.warmUs,
                 terms.coldMultiple, terms.windowUs, terms.openingPrice, 20 * S, rollout);
+            boolean cached = terms.linkBytesPerS > 0 && kept != null;
+            Meter.Role before = meter.in(Meter.Role.LIST);
             gate = new ReleaseGate(charter, this);
             up = true;
             gate.start(nowUs);
-            gate.listed(nowUs, Gate.ListForm.CACHED, units.values().stream().map(Unit::listed).toList());
+            takesIn(Gate.ListForm.CACHED, cached ? kept : discovery.list());
+            meter.in(before);
+            kept = null;
             desk.tell(this, Gate.VoteAnswer.NOT_ASKED);
+            if (cached) {
+                tellWhole(this);
+            }
+        }
+
+        int zone() {
+            return number % terms.zones;
+        }
+
+        /** Hands a part of the list to the decisions: all of it, or what is in scope. */
+        private void takesIn(Gate.ListForm form, List<HollowDiscovery.Entry> entries) {
+            holds(form, entries);
+            gate.listed(nowUs, form, HollowDiscovery.listed(entries));
+        }
+
+        private void holds(Gate.ListForm form, List<HollowDiscovery.Entry> entries) {
+            if (!terms.scoped) {
+                return;
+            }
+            if (form != Gate.ListForm.DELTA) {
+                held.stream().forEach(n -> discovery.holders(n, -1));
+                held.clear();
+            }
+            for (HollowDiscovery.Entry e : entries) {
+                boolean holds = e.listed().health() != Listed.Health.GONE;
+                if (held.get(e.number()) != holds) {
+                    held.set(e.number(), holds);
+                    discovery.holders(e.number(), holds ? 1 : -1);
+                }
+            }
+        }
+
+        /** What discovery sends is on its way here, after all that was sent before. */
+        private void told(HollowDiscovery.Message message, long readyUs) {
+            boolean first = number == 0;
+            boolean drain = !message.whole() && message.entries().stream()
+                .anyMatch(e -> e.listed().health() == Listed.Health.DRAINING);
+            long fromUs = Math.max(readyUs + (terms.fault == Fault.DRAIN_LATE && first && drain ? 9 * S : 0),
+                linkFreeUs);
+            linkFreeUs = terms.linkBytesPerS == 0 ? fromUs
+                : fromUs + message.bytes() * S / terms.linkBytesPerS;
+            heardLastUs = Math.max(heardLastUs, linkFreeUs);
+            message.record().owed(number, heardLastUs);
+            if (terms.fault == Fault.CHANGE_MISSED && first && message.index() == 3) {
+                return;
+            }
+            int was = life;
+            in(heardLastUs - nowUs, () -> {
+                if (was == life) {
+                    hears(message);
+                }
+            });
         }
 
         private void arrive() {
@@ -343,20 +653,23 @@
         private void take() {
             String id = Long.toHexString(ids++);
             int route = chance.nextInt(routes.size());
+            Bounds bounds = terms.services > 1 ? services.get(at(chance.nextDouble())) : Bounds.NONE;
             Open req = new Open(nowUs + waitsUs[route]);
             open.put(id, req);
             records.taken.add(new Records.Taken(id, number, routes.get(route), nowUs, req.endUs));
+            Meter.Role before = meter.in(Meter.Role.REQS);
             req.handle = gate.take(nowUs, id, route, 0, chance.nextLong(5000), waitsUs[route],
-                (long) terms.workUs);
+                (long) terms.workUs, bounds);
+            meter.in(before);
             settle(id, req);
         }
 
-        private void hears(List<Unit> changed) {
-            if (up) {
-                changed.stream().filter(u -> u.health != Listed.Health.READY)
-                    .forEach(u -> records.leaves.add(new Records.Told(number, u.name, nowUs)));
-                gate.listed(nowUs, Gate.ListForm.DELTA, changed.stream().map(Unit::listed).toList());
-            }
+        private void hears(HollowDiscovery.Message message) {
+            message.record().heard(number);
+            records.told(number, message, nowUs);
+            Meter.Role before = meter.in(Meter.Role.LIST);
+            takesIn(message.whole() ? Gate.ListForm.FULL : Gate.ListForm.DELTA, message.entries());
+            meter.in(before);
         }
 
         private void settle(String id, Open req) {
@@ -377,12 +690,15 @@
             if (ending != Ending.TIMED_OUT && ending != Ending.CANCELLED) {
                 idle.computeIfAbsent(work.at.name, u -> new ArrayDeque<>()).add(nowUs);
             }
+            Meter.Role before = meter.in(Meter.Role.REQS);
             req.handle.ended(nowUs, work.number, ending, nowUs - work.sentUs, req.over, Load.NONE);
+            meter.in(before);
             settle(work.id, req);
         }
 
         @Override
         public void send(String id, String unit, long timeoutUs) {
+            Meter.Role before = meter.in(Meter.Role.WORLD);
             Open req = open.get(id);
             Unit u = units.get(unit);
             Work work = new Work(this, id, req.tries++, u, req.workUs);
@@ -394,6 +710,7 @@
             records.opened += stands ? 0 : 1;
             in(stands ? MS : 3 * MS, () -> u.take(work));
             in(req.endUs - nowUs, () -> ended(work, Ending.TIMED_OUT));
+            meter.in(before);
         }
 
         private void answered(String id) {
@@ -437,7 +754,10 @@
             int was = life;
             in(inUs, () -> {
                 if (was == life && up) {
+                    // The gate's first two tokens are its own; every other is a req's.
+                    Meter.Role before = meter.in(token > 1 ? Meter.Role.REQS : Meter.Role.BEAT);
                     gate.due(nowUs, token);
+                    meter.in(before);
                 }
             });
         }
--- /dev/null
+++ b/src/test/java/gatelock/fleet/HollowDiscovery.java
@@ -0,0 +1,134 @@
+package gatelock.fleet;
+
+import gatelock.relay.Listed;
+
+import java.util.AbstractList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+
+/** The list of units as discovery holds it, its changes by index, and what a relay is sent of them. */
+final class HollowDiscovery {
+    /** An entry as it was at one time, shared by all relays; {@code number}: of the unit among all ever. */
+    record Entry(Listed listed, String service, int number) {
+        private static final Map<Listed.Health, String> STATUS = Map.of(Listed.Health.READY, "in_service",
+            Listed.Health.DRAINING, "terminating", Listed.Health.GONE, "terminated");
+
+        String address() {
+            return "10." + (number >> 16) + "." + (number >> 8 & 255) + "." + (number & 255) + ":8080";
+        }
+
+        /** As it stands in a list on the wire. */
+        String json() {
+            return String.format("{\"name\":\"%s\",\"service\":\"%s\",\"address\":\"%s\",\"status\":\"%s\","
+                + "\"weight\":1.0,\"since_ms\":%d,\"image_id\":%d,\"zone\":\"zone-%02d\",\"type\":\"standard\","
+                + "\"group\":%d},", listed.unit(), service, address(), STATUS.get(listed.health()),
+                listed.startUs() / 1000, listed.build(), listed.zone(), listed.cell());
+        }
+    }
+
+    /** An answer to a relay's watch: what changed, or the whole list as of an index. */
+    record Message(long index, boolean whole, List<Entry> entries, long bytes, Records.Message record) {
+    }
+
+    /** Around the entries of an answer: its head, its index and whether it is the whole. */
+    private static final int ANSWER_BYTES = 160;
+
+    private final Fleet.Terms terms;
+    private final Records records;
+    private final Map<String, Entry> list = new LinkedHashMap<>();
+    private List<Entry> whole;
+    private int[] holders = new int[0];
+    private long index;
+    private long bytes;
+
+    HollowDiscovery(Fleet.Terms terms, Records records) {
+        this.terms = terms;
+        this.records = records;
+    }
+
+    /** What is listed at the beginning. */
+    void holds(List<Entry> entries) {
+        entries.forEach(this::put);
+        whole = null;
+    }
+
+    private void put(Entry entry) {
+        Entry before = entry.listed.health() == Listed.Health.GONE ? list.remove(entry.listed.unit())
+            : list.put(entry.listed.unit(), entry);
+        bytes += (entry.listed.health() == Listed.Health.GONE ? 0 : length(entry))
+            - (before == null ? 0 : length(before));
+    }
+
+    private long length(Entry entry) {
+        return terms.linkBytesPerS > 0 ? entry.json().length() : 0;
+    }
+
+    /** All that is listed now; the same list until it changes. */
+    List<Entry> list() {
+        if (whole == null) {
+            whole = List.copyOf(list.values());
+        }
+        return whole;
+    }
+
+    Message changed(long nowUs, List<Entry> entries) {
+        entries.forEach(this::put);
+        whole = null;
+        index++;
+        entries.forEach(e -> (e.listed.health() == Listed.Health.READY ? records.ups : records.downs)
+            .add(new Records.Known(e.listed.unit(), nowUs)));
+        long length = ANSWER_BYTES + entries.stream().mapToLong(this::length).sum();
+        return new Message(index, false, entries, length, records.message(index, nowUs, length));
+    }
+
+    Message whole(long nowUs) {
+        long length = ANSWER_BYTES + bytes;
+        return new Message(index, true, list(), length, records.message(index, nowUs, length));
+    }
+
+    /** Mean bytes of an entry. */
+    double entryBytes() {
+        return bytes / (double) Math.max(1, list.size());
+    }
+
+    /** One relay more or less holds this unit. */
+    void holders(int unit, int by) {
+        if (unit >= holders.length) {
+            holders = Arrays.copyOf(holders, Math.max(unit + 1, holders.length * 2));
+        }
+        holders[unit] += by;
+    }
+
+    /** Records how many relays hold each ready unit, where they hold less than all. */
+    void countHolders(int relays) {
+        if (!terms.scoped) {
+            return;
+        }
+        Map<String, Long> ready = list().stream().filter(e -> e.listed.health() == Listed.Health.READY)
+            .collect(Collectors.groupingBy(Entry::service, Collectors.counting()));
+        for (Entry e : list()) {
+            if (e.number < holders.length && holders[e.number] > 0) {
+                records.held.add(new Records.Held(e.listed.unit(), ready.getOrDefault(e.service, 0L).intValue(),
+                    holders[e.number], relays, terms.most));
+            }
+        }
+    }
+
+    /** The entries as the decisions take them, without a copy for each relay. */
+    static List<Listed> listed(List<Entry> entries) {
+        return new AbstractList<>() {
+            @Override
+            public Listed get(int i) {
+                return entries.get(i).listed;
+            }
+
+            @Override
+            public int size() {
+                return entries.size();
+            }
+        };
+    }
+}
--- a/src/test/java/gatelock/fleet/RecordsTest.java
+++ b/src/test/java/gatelock/fleet/RecordsTest.java
@@ -69,4 +69,58 @@
         }
         assertThat(records.broken(terms)).singleElement().asString().startsWith("rule 5: relay 0 sent 6");
     }
+
+    @Test
+    void sendToAUnitThatCameBackIsNone() {
+        served("a", 6 * S);
+        records.leaves.add(new Records.Told(0, "u", S));
+        records.backs.add(new Records.Told(0, "u", 5 * S));
+        assertThat(records.broken(terms)).isEmpty();
+        records.backs.clear();
+        assertThat(records.broken(terms)).singleElement().asString().startsWith("rule 3: a went to u");
+    }
+
+    /** The relay heard of the drain only after its send, so that by its own word nothing is wrong. */
+    @Test
+    void drainToldLateByDiscoverysOwnClock() {
+        terms.linkBytesPerS = 23_000;
+        served("a", 10 * S);
+        records.downs.add(new Records.Known("u", S));
+        records.leaves.add(new Records.Told(0, "u", 10 * S));
+        assertThat(records.broken(terms)).singleElement().asString().startsWith("told late: relay 0 sent to u");
+        records.ups.add(new Records.Known("u", 9 * S));
+        assertThat(records.broken(terms)).isEmpty();
+    }
+
+    @Test
+    void secondNoticeOfAUnitThatLeftBringsNoGrace() {
+        terms.linkBytesPerS = 23_000;
+        served("a", 12 * S);
+        records.downs.add(new Records.Known("u", S));
+        records.downs.add(new Records.Known("u", 11 * S));
+        assertThat(records.broken(terms)).singleElement().asString().startsWith("told late");
+    }
+
+    @Test
+    void changeThatARelayNeverHad() {
+        Records.Message message = records.message(1, S, 300);
+        message.owed(0, 2 * S);
+        message.owed(1, 2 * S);
+        message.heard(0);
+        records.endUs = 3 * S;
+        assertThat(records.broken(terms)).containsExactly("change 1: relay 1 never had it");
+        records.heardNoMore(1);
+        assertThat(records.broken(terms)).isEmpty();
+        message.owed(2, 4 * S);
+        assertThat(records.broken(terms)).as("its link still carries it").isEmpty();
+        assertThat(records.onTheWay()).isEqualTo(1);
+    }
+
+    @Test
+    void unitThatAllRelaysHold() {
+        records.held.add(new Records.Held("u", 40, 6, 6, 8));
+        records.held.add(new Records.Held("v", 40, 3, 6, 8));
+        records.held.add(new Records.Held("w", 12, 6, 6, 8));
+        assertThat(records.broken(terms)).containsExactly("held: u by 6 of 6 relays");
+    }
 }
--- /dev/null
+++ b/src/test/java/gatelock/fleet/ScaleTest.java
@@ -0,0 +1,52 @@
+package gatelock.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+import java.util.List;
+
+/** The smallest step of the ladder: the same verdict each time, and each planted fault is found. */
+final class ScaleTest {
+    private static final Step SMALLEST = Step.LADDER.get(0);
+
+    private static Play.Result play(Play play, Fleet.Fault fault) {
+        Fleet.Terms terms = SMALLEST.terms(0, 36);
+        terms.fault = fault;
+        return play.play(SMALLEST, terms, new Meter(false));
+    }
+
+    @ParameterizedTest
+    @EnumSource(Play.class)
+    void smallestStepKeepsTheRulesAndTellsEveryRelay(Play play) {
+        Play.Result result = play(play, Fleet.Fault.NONE);
+        assertThat(result.broken()).isEmpty();
+        Records records = result.fleet().records;
+        assertThat(records.taken).hasSizeGreaterThan(10_000);
+        assertThat(records.sent).hasSizeGreaterThan(10_000);
+        assertThat(records.onTheWay()).isZero();
+        assertThat(records.messages).isNotEmpty();
+        long[] reached = records.reachedUs();
+        assertThat(reached[reached.length - 1]).isLessThan(7 * Fleet.S);
+    }
+
+    @Test
+    void oneSeedIsOneDigest() {
+        assertThat(play(Play.ZONE, Fleet.Fault.NONE).fleet().records.digest())
+            .isEqualTo(play(Play.ZONE, Fleet.Fault.NONE).fleet().records.digest());
+    }
+
+    @Test
+    void changeThatOneRelayNeverGetsIsFound() {
+        List<String> broken = play(Play.DAY, Fleet.Fault.CHANGE_MISSED).broken();
+        assertThat(broken).filteredOn(b -> b.startsWith("change")).containsExactly("change 3: relay 0 never had it");
+    }
+
+    @Test
+    void drainThatIsToldLateIsFound() {
+        List<String> broken = play(Play.DAY, Fleet.Fault.DRAIN_LATE).broken();
+        assertThat(broken).isNotEmpty().allMatch(b -> b.startsWith("told late: relay 0 sent to"));
+    }
+}
