Hollow relays with a scope: plays, and a unit that all relays hold is found

Cause: the scale tests played relays that hold the whole list only. Change: a relay of gatelock.fleet that is scoped hands its list to the real Scope and tells the gate what is in scope; holders of each unit are counted, with a bound of twice an even share and three of its roots.

--- a/src/test/java/gatelock/fleet/Fleet.java
+++ b/src/test/java/gatelock/fleet/Fleet.java
@@ -1,6 +1,8 @@
 package gatelock.fleet;
 
 import gatelock.decision.ReleaseGate;
+import gatelock.membership.Entry;
+import gatelock.membership.Scope;
 import gatelock.relay.Bounds;
 import gatelock.relay.Charter;
 import gatelock.relay.Ending;
@@ -81,8 +83,10 @@
         long lostSeenUs = 3 * S;
         /** Whether a relay holds what its scope says, and not the whole list. */
         boolean scoped;
-        /** Units of one service that a relay holds at the most, where it is scoped. */
-        int most = 8;
+        /** Units of one service that a scope aims at, some of them in other zones, and when it lets go of one. */
+        int perService = 5;
+        int leastElsewhere = 2;
+        long settleUs = 10 * S;
         Fault fault = Fault.NONE;
 
         int played() {
@@ -251,7 +255,7 @@
         quiet = true;
         run(20 * S);
         records.endUs = nowUs;
-        discovery.countHolders(relays.size());
+        discovery.countHolders(relays.size(), name -> units.get(name).number);
         return records.broken(terms);
     }
 
@@ -431,8 +435,8 @@
         }
 
         HollowDiscovery.Entry entry() {
-            return new HollowDiscovery.Entry(new Listed(name, build, zone, 0, 0, health, startUs),
-                services.get(service).name, number);
+            return new HollowDiscovery.Entry(new Entry(name, services.get(service).name,
+                HollowDiscovery.address(number), zone, 0, 0, build, health, startUs));
         }
 
         private void begins() {
@@ -546,6 +550,7 @@
         private int life;
         private boolean up;
         private Gate gate;
+        private Scope scope;
         /** When its link has carried all that it was given so far, and when the last of it is heard. */
         private long linkFreeUs;
         private long heardLastUs;
@@ -581,11 +586,16 @@
             boolean cached = terms.linkBytesPerS > 0 && kept != null;
             Meter.Role before = meter.in(Meter.Role.LIST);
             gate = new ReleaseGate(charter, this);
+            scope = terms.scoped ? new Scope(new Scope.Terms(number, zone(), terms.perService * terms.services,
+                terms.perService, terms.leastElsewhere, terms.settleUs)) : null;
             up = true;
             gate.start(nowUs);
-            takesIn(Gate.ListForm.CACHED, cached ? kept : discovery.list());
+            takesIn(Gate.ListForm.CACHED, cached ? kept : discovery.list(), discovery.index());
             meter.in(before);
             kept = null;
+            if (scope != null) {
+                lookAgain(life);
+            }
             desk.tell(this, Gate.VoteAnswer.NOT_ASKED);
             if (cached) {
                 tellWhole(this);
@@ -597,26 +607,57 @@
         }
 
         /** Hands a part of the list to the decisions: all of it, or what is in scope. */
-        private void takesIn(Gate.ListForm form, List<HollowDiscovery.Entry> entries) {
-            holds(form, entries);
-            gate.listed(nowUs, form, HollowDiscovery.listed(entries));
+        private void takesIn(Gate.ListForm form, List<HollowDiscovery.Entry> entries, long index) {
+            if (scope == null) {
+                gate.listed(nowUs, form, HollowDiscovery.listed(entries));
+                return;
+            }
+            Meter.Role before = meter.in(Meter.Role.SCOPE);
+            Scope.Reading reading = scope.read(form != Gate.ListForm.DELTA);
+            entries.forEach(e -> reading.add(e.told()));
+            Scope.Change change = reading.take(nowUs, index);
+            meter.in(before);
+            tells(change.whole() ? form : Gate.ListForm.DELTA, change);
         }
 
-        private void holds(Gate.ListForm form, List<HollowDiscovery.Entry> entries) {
-            if (!terms.scoped) {
+        private void tells(Gate.ListForm form, Scope.Change change) {
+            List<Entry> those = change.entries();
+            if (terms.fault == Fault.HELD_BY_ALL) {
+                those = new ArrayList<>(those);
+                those.removeIf(e -> units.get(e.name()).number == 0);
+                those.add(units.values().iterator().next().entry().told());
+            }
+            if (!change.whole() && those.isEmpty()) {
                 return;
             }
-            if (form != Gate.ListForm.DELTA) {
+            gate.listed(nowUs, form, those.stream().map(Entry::listed).toList());
+            Meter.Role before = meter.in(Meter.Role.WORLD);
+            if (change.whole()) {
                 held.stream().forEach(n -> discovery.holders(n, -1));
                 held.clear();
             }
-            for (HollowDiscovery.Entry e : entries) {
-                boolean holds = e.listed().health() != Listed.Health.GONE;
-                if (held.get(e.number()) != holds) {
-                    held.set(e.number(), holds);
-                    discovery.holders(e.number(), holds ? 1 : -1);
+            for (Entry e : those) {
+                int n = units.get(e.name()).number;
+                boolean holds = e.health() != Listed.Health.GONE;
+                if (held.get(n) != holds) {
+                    held.set(n, holds);
+                    discovery.holders(n, holds ? 1 : -1);
                 }
             }
+            meter.in(before);
+        }
+
+        private void lookAgain(int was) {
+            in(250 * MS, () -> {
+                if (was == life && up) {
+                    Meter.Role before = meter.in(Meter.Role.SCOPE);
+                    Scope.Change change = scope.due(nowUs);
+                    meter.in(Meter.Role.LIST);
+                    tells(Gate.ListForm.DELTA, change);
+                    meter.in(before);
+                    lookAgain(was);
+                }
+            });
         }
 
         /** What discovery sends is on its way here, after all that was sent before. */
@@ -668,7 +709,8 @@
             message.record().heard(number);
             records.told(number, message, nowUs);
             Meter.Role before = meter.in(Meter.Role.LIST);
-            takesIn(message.whole() ? Gate.ListForm.FULL : Gate.ListForm.DELTA, message.entries());
+            takesIn(message.whole() ? Gate.ListForm.FULL : Gate.ListForm.DELTA, message.entries(),
+                message.index());
             meter.in(before);
         }
 
@@ -690,7 +732,12 @@
             if (ending != Ending.TIMED_OUT && ending != Ending.CANCELLED) {
                 idle.computeIfAbsent(work.at.name, u -> new ArrayDeque<>()).add(nowUs);
             }
-            Meter.Role before = meter.in(Meter.Role.REQS);
+            Meter.Role before = meter.in(Meter.Role.SCOPE);
+            if (scope != null && ending != Ending.NOT_SENT) {
+                scope.ended(nowUs, work.at.name, ending == Ending.COMPLETED || ending == Ending.ERRORED
+                    || ending == Ending.TURNED_AWAY);
+            }
+            meter.in(Meter.Role.REQS);
             req.handle.ended(nowUs, work.number, ending, nowUs - work.sentUs, req.over, Load.NONE);
             meter.in(before);
             settle(work.id, req);
--- a/src/test/java/gatelock/fleet/HollowDiscovery.java
+++ b/src/test/java/gatelock/fleet/HollowDiscovery.java
@@ -7,24 +7,29 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.ToIntFunction;
 import java.util.stream.Collectors;
 
 /** The list of units as discovery holds it, its changes by index, and what a relay is sent of them. */
 final class HollowDiscovery {
-    /** An entry as it was at one time, shared by all relays; {@code number}: of the unit among all ever. */
-    record Entry(Listed listed, String service, int number) {
+    /** An entry as it was at one time, shared by all relays, and what the decisions take of it. */
+    record Entry(gatelock.membership.Entry told, Listed listed) {
         private static final Map<Listed.Health, String> STATUS = Map.of(Listed.Health.READY, "in_service",
             Listed.Health.DRAINING, "terminating", Listed.Health.GONE, "terminated");
 
-        String address() {
-            return "10." + (number >> 16) + "." + (number >> 8 & 255) + "." + (number & 255) + ":8080";
+        Entry(gatelock.membership.Entry told) {
+            this(told, told.listed());
+        }
+
+        String service() {
+            return told.service();
         }
 
         /** As it stands in a list on the wire. */
         String json() {
             return String.format("{\"name\":\"%s\",\"service\":\"%s\",\"address\":\"%s\",\"status\":\"%s\","
                 + "\"weight\":1.0,\"since_ms\":%d,\"image_id\":%d,\"zone\":\"zone-%02d\",\"type\":\"standard\","
-                + "\"group\":%d},", listed.unit(), service, address(), STATUS.get(listed.health()),
+                + "\"group\":%d},", listed.unit(), service(), told.address(), STATUS.get(listed.health()),
                 listed.startUs() / 1000, listed.build(), listed.zone(), listed.cell());
         }
     }
@@ -74,6 +79,14 @@
         return whole;
     }
 
+    static String address(int number) {
+        return "10." + (number >> 16) + "." + (number >> 8 & 255) + "." + (number & 255) + ":8080";
+    }
+
+    long index() {
+        return index;
+    }
+
     Message changed(long nowUs, List<Entry> entries) {
         entries.forEach(this::put);
         whole = null;
@@ -102,17 +115,18 @@
         holders[unit] += by;
     }
 
-    /** Records how many relays hold each ready unit, where they hold less than all. */
-    void countHolders(int relays) {
+    /** Records how many relays hold each ready unit, where they hold less than all; {@code number}: by name. */
+    void countHolders(int relays, ToIntFunction<String> number) {
         if (!terms.scoped) {
             return;
         }
         Map<String, Long> ready = list().stream().filter(e -> e.listed.health() == Listed.Health.READY)
             .collect(Collectors.groupingBy(Entry::service, Collectors.counting()));
         for (Entry e : list()) {
-            if (e.number < holders.length && holders[e.number] > 0) {
-                records.held.add(new Records.Held(e.listed.unit(), ready.getOrDefault(e.service, 0L).intValue(),
-                    holders[e.number], relays, terms.most));
+            int unit = number.applyAsInt(e.listed.unit());
+            if (unit < holders.length && holders[unit] > 0) {
+                records.held.add(new Records.Held(e.listed.unit(), ready.getOrDefault(e.service(), 0L).intValue(),
+                    holders[unit], relays, terms.perService));
             }
         }
     }
--- a/src/test/java/gatelock/fleet/Scale.java
+++ b/src/test/java/gatelock/fleet/Scale.java
@@ -57,7 +57,8 @@
 
     /** As many of the step's relays as were asked for, and no more than the heap bears. */
     private static Fleet.Terms terms(Step step, boolean scoped, int asked) {
-        long held = scoped ? Math.min(step.units(), (long) step.services() * new Fleet.Terms().most) : step.units();
+        long inScope = (long) step.services() * new Fleet.Terms().perService;
+        long held = scoped ? Math.min(step.units(), inScope) : step.units();
         long bears = (long) (Runtime.getRuntime().maxMemory() * HEAP_PART) / (held * BYTES_PER_HELD);
         int played = (int) Math.max(1, Math.min(asked > 0 ? asked : step.relays(), bears));
         Fleet.Terms terms = step.terms(played, SEED);
--- a/src/test/java/gatelock/fleet/ScaleTest.java
+++ b/src/test/java/gatelock/fleet/ScaleTest.java
@@ -13,15 +13,31 @@
     private static final Step SMALLEST = Step.LADDER.get(0);
 
     private static Play.Result play(Play play, Fleet.Fault fault) {
+        return play(play, fault, false);
+    }
+
+    private static Play.Result play(Play play, Fleet.Fault fault, boolean scoped) {
         Fleet.Terms terms = SMALLEST.terms(0, 36);
         terms.fault = fault;
+        terms.scoped = scoped;
         return play.play(SMALLEST, terms, new Meter(false));
     }
 
     @ParameterizedTest
     @EnumSource(Play.class)
     void smallestStepKeepsTheRulesAndTellsEveryRelay(Play play) {
-        Play.Result result = play(play, Fleet.Fault.NONE);
+        keepsAll(play(play, Fleet.Fault.NONE));
+    }
+
+    @ParameterizedTest
+    @EnumSource(Play.class)
+    void smallestStepKeepsTheRulesWithAScope(Play play) {
+        Play.Result result = play(play, Fleet.Fault.NONE, true);
+        keepsAll(result);
+        assertThat(result.fleet().records.held).isNotEmpty();
+    }
+
+    private static void keepsAll(Play.Result result) {
         assertThat(result.broken()).isEmpty();
         Records records = result.fleet().records;
         assertThat(records.taken).hasSizeGreaterThan(10_000);
@@ -49,4 +65,10 @@
         List<String> broken = play(Play.DAY, Fleet.Fault.DRAIN_LATE).broken();
         assertThat(broken).isNotEmpty().allMatch(b -> b.startsWith("told late: relay 0 sent to"));
     }
+
+    @Test
+    void unitThatAllRelaysHoldIsFound() {
+        List<String> broken = play(Play.RACK, Fleet.Fault.HELD_BY_ALL, true).broken();
+        assertThat(broken).filteredOn(b -> b.startsWith("held")).containsExactly("held: s1-u0 by 6 of 6 relays");
+    }
 }
