Capacity: the target worked out by role, line and load, and the ladder of its bounds

Cause: nothing told where today's design stops on the way to the target of two years from now.

Change: docs/capacity/target.json (inputs, assumptions with their sources, bounds) and lines.json (loads, formulas) give the tables and the chart of docs/CAPACITY.md; make capacity writes them. A test fails where the page and the files differ, or name different runs. What no run has measured says so.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo test lint run measure-plan measure-swarm measure-sessions measure-fleet
+.PHONY: build demo test lint run measure-plan measure-swarm measure-sessions measure-fleet capacity
 
 build:
 	mvn -B -q -DskipTests package
@@ -38,3 +38,8 @@
 measure-fleet:
 	mvn -B -q -DskipTests package dependency:build-classpath -Dmdep.outputFile=target/test.classpath
 	java -cp "target/classes:target/test-classes:$$(cat target/test.classpath)" gatelock.fleet.Rates 20
+
+# The tables and the chart of docs/CAPACITY.md, from the files in docs/capacity/.
+capacity:
+	mvn -B -q -DskipTests package dependency:build-classpath -Dmdep.outputFile=target/test.classpath
+	java -cp "target/classes:target/test-classes:$$(cat target/test.classpath)" gatelock.capacity.Page
--- /dev/null
+++ b/src/test/java/gatelock/capacity/CapacityPageTest.java
@@ -0,0 +1,179 @@
+package gatelock.capacity;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import java.io.IOException;
+import java.nio.file.DirectoryStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashSet;
+import java.util.Set;
+
+/** docs/CAPACITY.md holds what its files give, and every way in which it might not is seen. */
+class CapacityPageTest {
+    private static final Path PAGE = Path.of("docs/CAPACITY.md");
+    private static final Path DATA = Path.of("docs/capacity");
+    private static final Path FIXTURES = Path.of("src/test/resources/capacity");
+
+    @TempDir
+    private static Path agreed;
+    @TempDir
+    private Path scratch;
+    private Page page;
+
+    /** A copy of the page on invented runs, written out and agreeing. */
+    @BeforeAll
+    static void agree() throws IOException {
+        Files.copy(PAGE, agreed.resolve("CAPACITY.md"));
+        Files.copy(DATA.resolve("target.json"), agreed.resolve("target.json"));
+        Files.copy(DATA.resolve("lines.json"), agreed.resolve("lines.json"));
+        Files.copy(FIXTURES.resolve("slopes.json"), agreed.resolve("slopes.json"));
+        Files.copy(FIXTURES.resolve("scale.json"), agreed.resolve("scale.json"));
+        Page page = new Page(agreed.resolve("CAPACITY.md"), agreed);
+        page.write();
+        assertThat(page.problems()).isEmpty();
+    }
+
+    @BeforeEach
+    void copy() throws IOException {
+        try (DirectoryStream<Path> files = Files.newDirectoryStream(agreed)) {
+            for (Path file : files) {
+                Files.copy(file, scratch.resolve(file.getFileName()));
+            }
+        }
+        page = new Page(scratch.resolve("CAPACITY.md"), scratch);
+    }
+
+    private void change(String file, String from, String to) throws IOException {
+        Path path = scratch.resolve(file);
+        String text = Files.readString(path);
+        assertThat(text).contains(from);
+        Files.writeString(path, text.replace(from, to));
+    }
+
+    @Test
+    void thePageHoldsWhatItsFilesGive() throws IOException {
+        assertThat(new Page(PAGE, DATA).problems()).isEmpty();
+    }
+
+    @Test
+    void writingItAgainChangesNothing() throws IOException {
+        String once = Files.readString(scratch.resolve("CAPACITY.md"));
+        page.write();
+        assertThat(Files.readString(scratch.resolve("CAPACITY.md"))).isEqualTo(once);
+    }
+
+    @Test
+    void aFigureChangedInThePageIsSeen() throws IOException {
+        change("CAPACITY.md", "| relays | 5,700 |", "| relays | 5,701 |");
+        assertThat(page.problems()).singleElement().asString().contains("table inputs");
+    }
+
+    @Test
+    void aFigureChangedInTheTargetIsSeen() throws IOException {
+        change("target.json", "\"value\": 200000", "\"value\": 200001");
+        assertThat(page.problems()).anyMatch(p -> p.contains("table inputs"))
+            .anyMatch(p -> p.contains("table role-relay"));
+    }
+
+    @Test
+    void aSlopeChangedInItsFileIsSeen() throws IOException {
+        change("slopes.json", "\"slope\": 2000", "\"slope\": 2100");
+        assertThat(page.problems()).anyMatch(p -> p.contains("table slopes"))
+            .anyMatch(p -> p.contains("table ladder")).anyMatch(p -> p.contains("chart"));
+    }
+
+    @Test
+    void aFormulaChangedIsSeen() throws IOException {
+        change("lines.json", "\"units*heapPerUnit/1000000\"", "\"units*heapPerUnit/1048576\"");
+        assertThat(page.problems()).anyMatch(p -> p.contains("table role-relay"));
+    }
+
+    @Test
+    void slopesOfAnotherRunAreSeen() throws IOException {
+        change("slopes.json", "fixture-1", "fixture-9");
+        assertThat(page.problems()).contains("the page names run fixture-1 for slopes, the file is of run fixture-9");
+    }
+
+    @Test
+    void scaleOfAnotherRunIsSeen() throws IOException {
+        change("scale.json", "fixture-2", "fixture-9");
+        assertThat(page.problems()).contains("the page names run fixture-2 for scale, the file is of run fixture-9");
+    }
+
+    @Test
+    void aRunThatIsNoLongerThereIsSeen() throws IOException {
+        Files.delete(scratch.resolve("scale.json"));
+        assertThat(page.problems()).contains("the page names run fixture-2 for scale, the file is of run not run");
+    }
+
+    @Test
+    void aRunWithoutAnIdIsRefused() throws IOException {
+        change("slopes.json", "\"id\": \"fixture-1\", ", "");
+        assertThatThrownBy(page::problems).isInstanceOf(IOException.class).hasMessageContaining("no run.id");
+    }
+
+    @Test
+    void aChartChangedOrGoneIsSeen() throws IOException {
+        change("ladder.svg", "stroke-width=\"1.5\"", "stroke-width=\"1.6\"");
+        assertThat(page.problems()).singleElement().asString().contains("chart");
+        Files.delete(scratch.resolve("ladder.svg"));
+        assertThat(page.problems()).singleElement().asString().contains("chart");
+    }
+
+    @Test
+    void aTableTakenOutOrUnknownOrTwiceIsSeen() throws IOException {
+        change("CAPACITY.md", "<!-- table:over -->", "<!-- table:under -->");
+        assertThat(page.problems()).contains("table under is none that the files give", "table over is missing");
+        change("CAPACITY.md", "<!-- table:under -->", "<!-- table:inputs -->");
+        assertThat(page.problems()).contains("table inputs stands there twice");
+    }
+
+    @Test
+    void whatIsOverItsBoundNeedsAMechanismAndAMechanismItsText() throws IOException {
+        change("lines.json", "\"mechanism\": \"membership by scope\", \"ladder\": \"anew\", \"after\": "
+            + "\"entryBytes/1000000\"", "\"ladder\": \"anew\", \"after\": \"entryBytes/1000000\"");
+        assertThat(page.problems()).contains("line list is over its bound and names no mechanism");
+        change("CAPACITY.md", "\n### Tenants by demand\n", "\n### Tenants\n");
+        assertThat(page.problems()).contains("mechanism 'tenants by demand' has no heading");
+    }
+
+    /** A misspelt name would pass for a slope that was not measured. */
+    @Test
+    void formulasUseNamesThatAreKnown() throws IOException {
+        Target target = Target.read(DATA.resolve("target.json"));
+        Lines lines = Lines.read(DATA.resolve("lines.json"));
+        Set<String> known = new HashSet<>(target.inputs().keySet());
+        target.bounds().keySet().forEach(b -> known.add(b + "Bound"));
+        known.addAll(lines.derived().keySet());
+        lines.loads().values().forEach(l -> known.addAll(l.set().keySet()));
+        known.addAll(Measured.KNOWN);
+        Measured.KNOWN.forEach(k -> known.add(k + "0"));
+        for (Lines.Line line : lines.lines()) {
+            assertThat(known).as(line.id()).containsAll(Formulas.names(line.formula()));
+            assertThat(known).as(line.id()).containsAll(line.after() == null ? Set.of() : Formulas.names(line.after()));
+            assertThat(line.bound() == null || target.bounds().containsKey(line.bound())).as(line.id()).isTrue();
+            assertThat(line.ladder() == null || line.bound() != null && line.lost() != null).as(line.id()).isTrue();
+        }
+        assertThat(lines.lines().stream().map(Lines.Line::id)).doesNotHaveDuplicates();
+        Measured.KNOWN.forEach(k -> assertThat(target.inputs()).doesNotContainKey(k));
+    }
+
+    @Test
+    void everyInputHasASourceAndAnAssumedOneSaysSo() throws IOException {
+        Target target = Target.read(DATA.resolve("target.json"));
+        assertThat(target.inputs().values()).allSatisfy(i -> assertThat(i.source()).isNotBlank());
+        assertThat(target.inputs().values()).filteredOn(i -> i.source().startsWith("ours")
+            || i.source().startsWith("hive-scale-lk")).allMatch(Target.Input::assumed);
+        assertThat(target.bounds().values()).allSatisfy(b -> {
+            assertThat(b.source()).isNotBlank();
+            assertThat(b.value() == null).isNotEqualTo(b.formula() == null);
+        });
+    }
+}
--- /dev/null
+++ b/src/test/java/gatelock/capacity/ZipfTest.java
@@ -0,0 +1,39 @@
+package gatelock.capacity;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.DoubleRange;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+import java.util.stream.IntStream;
+
+/** Shares by rank, and how many are met. */
+class ZipfTest {
+
+    @Test
+    void sharesFallWithTheRank() {
+        Zipf zipf = new Zipf(3, 1);
+        assertThat(zipf.share(1)).isCloseTo(6 / 11.0, within(1e-12));
+        assertThat(zipf.share(3)).isCloseTo(2 / 11.0, within(1e-12));
+        assertThat(zipf.partWith(3 / 11.0)).isCloseTo(2 / 3.0, within(1e-12));
+    }
+
+    @Property(tries = 200)
+    void allSharesAreOneAndNoMoreAreMetThanDrawnOrThere(@ForAll @IntRange(min = 1, max = 500) int count,
+                                                        @ForAll @DoubleRange(max = 2) double exponent,
+                                                        @ForAll @DoubleRange(max = 5000) double drawn) {
+        Zipf zipf = new Zipf(count, exponent);
+        assertThat(IntStream.rangeClosed(1, count).mapToDouble(zipf::share).sum()).isCloseTo(1, within(1e-9));
+        assertThat(zipf.distinct(drawn)).isLessThanOrEqualTo(Math.min(drawn, count) + 1e-9);
+    }
+
+    @Test
+    void moreThanTheMostOfAPoissonIsRareInItsTail() {
+        assertThat(Questions.poissonAbove(1, 0)).isCloseTo(1 - Math.exp(-1), within(1e-12));
+        assertThat(Questions.poissonAbove(26, 48)).isLessThan(1e-4);
+    }
+}
