Measure the slopes of a relay's cost: make measure-capacity

No figure stood behind what a relay costs by units, routes, tenants, connections, reqs, changes and versions. gatelock.capacity.Slopes measures them in one run and writes docs/capacity/slopes.json: heap by class histogram, processor time by thread and process, bytes on sockets, start time, time added to a req in an open loop, relays as processes with the platform's flags on lists of 1,000 to 200,000 entries, and 40 of them on one list. Fit is the least-squares line with its largest residual. The open loop of SwarmMeasure is a class of its own now (a req without a 200 no longer ends its client, it is counted), PlanMeasure's version text is one of Samples.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo test lint run measure-plan measure-swarm measure-sessions measure-fleet
+.PHONY: build demo test lint run measure-plan measure-swarm measure-sessions measure-fleet measure-capacity
 
 build:
 	mvn -B -q -DskipTests package
@@ -38,3 +38,9 @@
 measure-fleet:
 	mvn -B -q -DskipTests package dependency:build-classpath -Dmdep.outputFile=target/test.classpath
 	java -cp "target/classes:target/test-classes:$$(cat target/test.classpath)" gatelock.fleet.Rates 20
+
+# The slopes of docs/capacity/slopes.json, measured anew.
+measure-capacity:
+	mvn -B -q -DskipTests package dependency:build-classpath -Dmdep.outputFile=target/test.classpath
+	java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xmx4g -cp "target/classes:target/test-classes:$$(cat target/test.classpath)" \
+		gatelock.capacity.Slopes docs/capacity/slopes.json
--- /dev/null
+++ b/src/test/java/gatelock/capacity/ListPlay.java
@@ -0,0 +1,166 @@
+package gatelock.capacity;
+
+import gatelock.kept.Addresses;
+import gatelock.kept.Counters;
+import gatelock.plan.Admission;
+import gatelock.relay.Gate;
+import gatelock.relay.Outlet;
+import gatelock.relay.Verdict;
+import gatelock.standin.LongList;
+import gatelock.wire.Discovery;
+import gatelock.wire.Json;
+import gatelock.wire.Lines;
+import gatelock.wire.Turn;
+
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * A relay's part that follows the list, in this process and on real sockets, with no bound on the list's size: its
+ * own reader, addresses and decisions against a discovery of so many entries.
+ */
+final class ListPlay implements AutoCloseable {
+    private static final int NO_BOUND = 256 << 20;
+    private static final long WITHIN_MS = 60_000;
+    private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
+
+    final LongList list;
+    private final int size;
+    private final XnioWorker worker;
+    private final Turn turn;
+    private final Lines platform;
+    private final Lines units;
+    private final Discovery discovery;
+    private final Gate gate;
+    private final Addresses addresses = new Addresses();
+    private final double readUs;
+
+    /** Follows the list; when this returns, all of it has been taken in. */
+    ListPlay(int size, Admission admission) throws IOException, InterruptedException {
+        this.size = size;
+        list = new LongList(size, i -> entry(i, 0));
+        worker = Xnio.getInstance().createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1)
+            .set(Options.WORKER_TASK_CORE_THREADS, 1).set(Options.WORKER_TASK_MAX_THREADS, 1).getMap());
+        turn = new Turn(worker.getIoThread());
+        Counters counters = new Counters();
+        platform = new Lines(turn, counters, 1_000_000, 4_000_000, 0, 8, NO_BOUND);
+        units = new Lines(turn, counters, 1_000_000, 4_000_000, 0, 8);
+        String[] at = list.address("r").split(":");
+        discovery = new Discovery(turn, counters, platform, new InetSocketAddress(at[0], Integer.parseInt(at[1])),
+            addresses, units, List.of("east", "west"), List.of("small"), false, new SplittableRandom(17));
+        gate = ModulePlay.gate(new Quiet(), List.of());
+        long fromNs = cpuNs();
+        turn.soon(() -> {
+            try {
+                gate.start(turn.nowUs());
+                discovery.start(gate, admission, Json.read("{\"endpoints\":[]}".getBytes(StandardCharsets.US_ASCII)));
+                gate.news(turn.nowUs(), 1, 0, Gate.Phase.RELEASED, 1, 60_000_000, Gate.VoteAnswer.NOT_ASKED);
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        });
+        held(1);
+        readUs = (cpuNs() - fromNs) / 1e3;
+    }
+
+    /** About 190 bytes, as the target names them. */
+    static String entry(int number, int change) {
+        return LongList.entry(number, "127.0.0.1:" + (20_000 + number % 20_000), number % 2 == 0 ? "east" : "west",
+            "svc-" + number / ModulePlay.UNITS_OF_A_SERVICE, "in_service",
+            change == 0 ? 0 : 1_764_000_000_000L + change, 1);
+    }
+
+    private long cpuNs() {
+        return THREADS.getThreadCpuTime(turn.thread().getId());
+    }
+
+    private void held(long index) throws InterruptedException {
+        if (list.await(index, 1, WITHIN_MS).isEmpty()) {
+            throw new IllegalStateException("a list of " + size + " entries is not held up to " + index + " after "
+                + WITHIN_MS + " ms; whole lists asked for: " + list.wholes());
+        }
+    }
+
+    /** Processor time of the I/O thread to read the whole list and hand it on, in microseconds. */
+    double readUs() {
+        return readUs;
+    }
+
+    /** So many units restart, one after the other; the I/O thread's processor time for one, the median. */
+    double changeUs(int changes) throws InterruptedException {
+        List<Long> ns = new ArrayList<>();
+        for (int i = 1; i <= changes; i++) {
+            int number = (int) ((long) i * 7_919 % size);
+            long fromNs = cpuNs();
+            held(list.change(number, entry(number, i)));
+            ns.add(cpuNs() - fromNs);
+        }
+        return ns.stream().sorted().skip(changes / 2).findFirst().orElseThrow() / 1e3;
+    }
+
+    @Override
+    public void close() throws InterruptedException {
+        turn.soon(platform::stop);
+        turn.soon(units::stop);
+        list.close();
+        worker.shutdownNow();
+        worker.awaitTermination(5, TimeUnit.SECONDS);
+        turn.thread().join(5_000);
+    }
+
+    /** No req is taken, and no timer runs: what is measured is the list alone. */
+    private static final class Quiet implements Outlet {
+        @Override
+        public void send(String id, String unit, long timeoutUs) {
+            throw new IllegalStateException("no req was taken");
+        }
+
+        @Override
+        public void shed(String id, long pauseUs) {
+            throw new IllegalStateException("no req was taken");
+        }
+
+        @Override
+        public void error(String id) {
+            throw new IllegalStateException("no req was taken");
+        }
+
+        @Override
+        public void cancel(String id, int tryNo) {
+            throw new IllegalStateException("no req was taken");
+        }
+
+        @Override
+        public void vote(int build, int stage, Verdict verdict) {
+            // no desk
+        }
+
+        @Override
+        public void timer(long inUs, long token) {
+            // no beat: it is measured by itself
+        }
+
+        @Override
+        public void followList() {
+            // the list is followed unasked
+        }
+
+        @Override
+        public void say(String line) {
+            // no operator
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/gatelock/capacity/ModulePlay.java
@@ -0,0 +1,191 @@
+package gatelock.capacity;
+
+import gatelock.decision.ReleaseGate;
+import gatelock.relay.Bounds;
+import gatelock.relay.Charter;
+import gatelock.relay.Ending;
+import gatelock.relay.Gate;
+import gatelock.relay.Handle;
+import gatelock.relay.Listed;
+import gatelock.relay.Load;
+import gatelock.relay.Outlet;
+import gatelock.relay.Rollout;
+import gatelock.relay.Route;
+import gatelock.relay.Verdict;
+import gatelock.standin.LongList;
+
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+/** The module alone, with so many units: reqs that all complete after 5 ms, 860 a second of its own time. */
+final class ModulePlay implements Outlet {
+    static final int UNITS_OF_A_SERVICE = 28;
+    private static final long REQ_EVERY_US = 1_163;
+    private static final int BATCH = 16;
+    private static final int IN_FLIGHT = 4;
+    private static final long LEFT_US = 1_000_000;
+    private static final long BEAT_US = 250_000;
+    private static final long COST_US = 5_000;
+    /** More than a few, so that a verdict is weighed as in a fleet. */
+    private static final int RELAYS = 100;
+    private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
+
+    private record Out(Handle handle, long sentUs) {
+    }
+
+    private final Gate gate;
+    private final List<Set<String>> services = new ArrayList<>();
+    private final SplittableRandom chance = new SplittableRandom(17);
+    private final ArrayDeque<Out> out = new ArrayDeque<>();
+    private long nowUs = 1_000_000_000_000L;
+    private long beatToken = -1;
+    private long ids;
+    private long sent;
+
+    ModulePlay(int units) {
+        gate = gate(this, List.of());
+        gate.start(nowUs);
+        List<Listed> list = new ArrayList<>();
+        for (int i = 0; i < units; i++) {
+            if (i % UNITS_OF_A_SERVICE == 0) {
+                services.add(new HashSet<>());
+            }
+            String name = LongList.name(i);
+            services.get(services.size() - 1).add(name);
+            list.add(new Listed(name, 1, i % 3, 0, i % 10, Listed.Health.READY, 0));
+        }
+        gate.listed(nowUs, Gate.ListForm.FULL, list);
+        gate.news(nowUs, 1, 0, Gate.Phase.RELEASED, 1, 60_000_000, Gate.VoteAnswer.NOT_ASKED);
+    }
+
+    /** Decisions on the terms of examples/relay.json. */
+    static Gate gate(Outlet out, List<Charter.Tenant> tenants) {
+        Rollout rollout = new Rollout(Rollout.Gatekeeping.COUNT, 1_000_000, 6_000_000, 2_000_000,
+            new double[] {0.2, 0.6, 1}, 0, false, false, 2, 1, 10, false);
+        return new ReleaseGate(new Charter(17, RELAYS, 0, List.of(
+            new Route(Route.Repeat.RETRIABLE, Route.Group.ALL, 0, 250_000, 1),
+            new Route(Route.Repeat.DEDUPED, Route.Group.ALL, 5_000_000, 400_000, 3),
+            new Route(Route.Repeat.NON_RETRIABLE, Route.Group.ALL, 0, 500_000, 3)), tenants, 0.5, 3, true, true,
+            2_000_000, false, 0.4, 3_000_000, 2.5, 1_000_000, 0, 22_500_000, rollout), out);
+    }
+
+    /** Reqs, up to so many or a second of processor time; microseconds for one. Beats between don't count. */
+    double reqUs(boolean scoped, int most) {
+        long usedNs = 0;
+        long reqs = 0;
+        long sentBefore = sent;
+        long beatAtUs = nowUs + BEAT_US;
+        while (reqs < most && usedNs < 1_000_000_000) {
+            long fromNs = THREADS.getCurrentThreadCpuTime();
+            for (int i = 0; i < BATCH; i++) {
+                nowUs += REQ_EVERY_US;
+                req(scoped);
+            }
+            reqs += BATCH;
+            usedNs += THREADS.getCurrentThreadCpuTime() - fromNs;
+            if (nowUs >= beatAtUs) {
+                beat();
+                beatAtUs += BEAT_US;
+            }
+        }
+        if (sent - sentBefore < reqs * 0.99) {
+            throw new IllegalStateException("of " + reqs + " reqs only " + (sent - sentBefore) + " were sent");
+        }
+        return usedNs / 1e3 / reqs;
+    }
+
+    private void req(boolean scoped) {
+        Set<String> service = services.get(chance.nextInt(services.size()));
+        Bounds bounds = scoped ? new Bounds() {
+            @Override
+            public boolean reaches(String unit) {
+                return service.contains(unit);
+            }
+
+            @Override
+            public int mostTries() {
+                return Integer.MAX_VALUE;
+            }
+
+            @Override
+            public long tryUs() {
+                return 0;
+            }
+
+            @Override
+            public boolean goesOn(long nowUs, Ending last) {
+                return true;
+            }
+        } : Bounds.NONE;
+        long before = sent;
+        Handle handle = gate.take(nowUs, "r" + ids++, 0, 0, Gate.NO_KEY, LEFT_US, COST_US, bounds);
+        if (sent > before) {
+            out.add(new Out(handle, nowUs));
+        }
+        if (out.size() > IN_FLIGHT) {
+            Out first = out.poll();
+            first.handle.ended(nowUs, 0, Ending.COMPLETED, nowUs - first.sentUs, true, Load.NONE);
+        }
+    }
+
+    private void beat() {
+        gate.due(nowUs, beatToken);
+    }
+
+    /** So many beats, a quarter of a second apart; microseconds for one. */
+    double beatUs(int beats) {
+        long fromNs = THREADS.getCurrentThreadCpuTime();
+        for (int i = 0; i < beats; i++) {
+            nowUs += BEAT_US;
+            beat();
+        }
+        return (THREADS.getCurrentThreadCpuTime() - fromNs) / 1e3 / beats;
+    }
+
+    @Override
+    public void send(String id, String unit, long timeoutUs) {
+        sent++;
+    }
+
+    @Override
+    public void shed(String id, long pauseUs) {
+        // counted as not sent
+    }
+
+    @Override
+    public void error(String id) {
+        // counted as not sent
+    }
+
+    @Override
+    public void cancel(String id, int tryNo) {
+        // nothing is out for long
+    }
+
+    @Override
+    public void vote(int build, int stage, Verdict verdict) {
+        // no desk
+    }
+
+    /** The first timer is the beat's; a req's is due only after its end, when it does nothing. */
+    @Override
+    public void timer(long inUs, long token) {
+        beatToken = beatToken < 0 ? token : beatToken;
+    }
+
+    @Override
+    public void followList() {
+        // the list is told once
+    }
+
+    @Override
+    public void say(String line) {
+        // no operator
+    }
+}
--- a/src/test/java/gatelock/plan/PlanMeasure.java
+++ b/src/test/java/gatelock/plan/PlanMeasure.java
@@ -3,7 +3,6 @@
 import gatelock.relay.Gate;
 import gatelock.relay.Listed;
 
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -104,23 +103,7 @@
             + "thread to swap, p50 | most |");
         System.out.println("| --- | --- | --- | --- | --- |");
         for (int entries : new int[] {10, 1_000, 100_000}) {
-            StringBuilder text = new StringBuilder("{\"format\": 1, \"pools\": {");
-            int pools = Math.min(200, entries);
-            for (int i = 0; i < pools; i++) {
-                text.append(i == 0 ? "" : ",").append("\"p").append(i)
-                    .append("\": {\"zones\": [\"east\"], \"leastShare\": 0.5, ")
-                    .append("\"fallback\": \"all\"}");
-            }
-            text.append(", \"all\": {}}, \"limits\": {\"l\": {\"per\": \"tenant\", \"ratePerS\": 100}}, "
-                + "\"routes\": [");
-            for (int i = 0; i < entries; i++) {
-                text.append(i == 0 ? "" : ",\n").append("{\"name\": \"r").append(i)
-                    .append("\", \"path\": \"/s").append(i / 100)
-                    .append("/t").append(i % 100).append("\", \"class\": \"read\", \"pool\": \"p")
-                    .append(i % pools)
-                    .append("\", \"limits\": [\"l\"]}");
-            }
-            byte[] bytes = text.append("]}").toString().getBytes(StandardCharsets.UTF_8);
+            byte[] bytes = Samples.version(entries);
             Compiler compiler = new Compiler(Samples.GROUNDS);
             Admission admission = new Admission(1);
             List<Listed> units = new ArrayList<>();
--- a/src/test/java/gatelock/plan/Samples.java
+++ b/src/test/java/gatelock/plan/Samples.java
@@ -7,8 +7,8 @@
 import java.util.Map;
 
 /** A small deployment, and versions for it. */
-final class Samples {
-    static final Grounds GROUNDS = new Grounds(Map.of("read", 0, "post", 1, "claim", 2), List.of(
+public final class Samples {
+    public static final Grounds GROUNDS = new Grounds(Map.of("read", 0, "post", 1, "claim", 2), List.of(
         new Route(Route.Repeat.RETRIABLE, Route.Group.ALL, 0, 250_000, 1),
         new Route(Route.Repeat.DEDUPED, Route.Group.ZONE, 5_000_000, 400_000, 3),
         new Route(Route.Repeat.NON_RETRIABLE, Route.Group.ALL, 0, 500_000, 3)),
@@ -18,6 +18,27 @@
     private Samples() {
     }
 
+    /** A version of so many routes, each with a pool and a limit for each tenant. */
+    public static byte[] version(int routes) {
+        StringBuilder text = new StringBuilder("{\"format\": 1, \"pools\": {");
+        int pools = Math.min(200, routes);
+        for (int i = 0; i < pools; i++) {
+            text.append(i == 0 ? "" : ",").append("\"p").append(i)
+                .append("\": {\"zones\": [\"east\"], \"leastShare\": 0.5, ")
+                .append("\"fallback\": \"all\"}");
+        }
+        text.append(", \"all\": {}}, \"limits\": {\"l\": {\"per\": \"tenant\", \"ratePerS\": 100}}, "
+            + "\"routes\": [");
+        for (int i = 0; i < routes; i++) {
+            text.append(i == 0 ? "" : ",\n").append("{\"name\": \"r").append(i)
+                .append("\", \"path\": \"/s").append(i / 100)
+                .append("/t").append(i % 100).append("\", \"class\": \"read\", \"pool\": \"p")
+                .append(i % pools)
+                .append("\", \"limits\": [\"l\"]}");
+        }
+        return text.append("]}").toString().getBytes(StandardCharsets.UTF_8);
+    }
+
     /** Compiles a version written with single quotes. */
     static Compiler.Compiled compiled(String text) {
         return new Compiler(GROUNDS).compile(Stamp.Epoch.NONE, 1, text.replace('\'', '"')
--- a/src/test/java/gatelock/standin/SwarmMeasure.java
+++ b/src/test/java/gatelock/standin/SwarmMeasure.java
@@ -1,19 +1,11 @@
 package gatelock.standin;
 
-import java.io.IOException;
-import java.io.InputStream;
-import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.concurrent.TimeUnit;
 
-import org.HdrHistogram.ConcurrentHistogram;
 import org.HdrHistogram.Histogram;
 
 /**
@@ -98,51 +90,13 @@
         return text.append("]}").toString();
     }
 
+    /** Times of reqs from when each was due; one that got no 200 is told. */
     static Histogram load(int port, int seconds) throws InterruptedException {
-        Histogram us = new ConcurrentHistogram(3);
-        List<Thread> clients = new ArrayList<>();
-        long fromNs = System.nanoTime() + 100_000_000;
-        for (int c = 0; c < CLIENTS; c++) {
-            int mine = c;
-            Thread client = new Thread(() -> {
-                try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
-                    socket.setTcpNoDelay(true);
-                    for (int i = mine; i < seconds * A_SECOND; i += CLIENTS) {
-                        long dueNs = fromNs + i * 1_000_000_000L / A_SECOND;
-                        for (long now = System.nanoTime(); now < dueNs; now = System.nanoTime()) {
-                            TimeUnit.NANOSECONDS.sleep(dueNs - now);
-                        }
-                        ask(socket, fromNs + "-" + i);
-                        us.recordValue((System.nanoTime() - dueNs) / 1_000);
-                    }
-                } catch (IOException | InterruptedException e) {
-                    System.out.println("a client ended: " + e);
-                }
-            });
-            client.start();
-            clients.add(client);
-        }
-        for (Thread client : clients) {
-            client.join();
-        }
-        return us;
-    }
-
-    private static void ask(Socket socket, String id) throws IOException {
-        OutputStream out = socket.getOutputStream();
-        out.write(("GET /read/x HTTP/1.1\r\nHost: x\r\nX-Trace-Id: " + id + "\r\n\r\n")
-            .getBytes(StandardCharsets.US_ASCII));
-        InputStream in = socket.getInputStream();
-        byte[] some = new byte[4_096];
-        StringBuilder got = new StringBuilder();
-        while (got.indexOf("\r\n\r\n") < 0 || !got.toString().startsWith("HTTP/1.1 200") || !got.toString()
-            .endsWith("\n")) {
-            int n = in.read(some);
-            if (n < 0 || got.length() > 4_096) {
-                throw new IOException("no answer: " + got);
-            }
-            got.append(new String(some, 0, n, StandardCharsets.ISO_8859_1));
+        OpenLoop.Result result = OpenLoop.run(new int[] {port}, CLIENTS, A_SECOND, seconds);
+        if (result.other() > 0) {
+            System.out.println(result.other() + " reqs got no 200");
         }
+        return result.us();
     }
 
     private static void say(String what, Histogram us) {
