--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo test lint run measure-plan measure-swarm measure-sessions measure-fleet capacity
+.PHONY: build demo test lint run measure-plan measure-swarm measure-sessions measure-fleet capacity measure-capacity
 
 build:
 	mvn -B -q -DskipTests package
@@ -43,3 +43,9 @@
 capacity:
 	mvn -B -q -DskipTests package dependency:build-classpath -Dmdep.outputFile=target/test.classpath
 	java -cp "target/classes:target/test-classes:$$(cat target/test.classpath)" gatelock.capacity.Page
+
+# The slopes of docs/capacity/slopes.json, measured anew.
+measure-capacity:
+	mvn -B -q -DskipTests package dependency:build-classpath -Dmdep.outputFile=target/test.classpath
+	java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xmx4g -cp "target/classes:target/test-classes:$$(cat target/test.classpath)" \
+		gatelock.capacity.Slopes docs/capacity/slopes.json
