Capacity: lines below none count as none, poor fits and notes of a run are said

Cause: the first slopes are a trial; a line through scattered points gave figures below none at small steps.

Change: costs are no less than none, a slope whose points lie over a quarter off its line is marked where it is used, and what a run notes of itself (trial, failed, not run) stands on the page.

--- a/src/test/java/gatelock/capacity/Measured.java
+++ b/src/test/java/gatelock/capacity/Measured.java
@@ -74,6 +74,16 @@
         }
     }
 
+    /** The largest distance of a slope's point from its line, as a share; NaN: not measured. */
+    double residual(String name) {
+        for (JsonNode slope : file.path("slopes")) {
+            if (name.equals(slope.path("name").asText())) {
+                return slope.path("residual").asDouble(Double.NaN);
+            }
+        }
+        return Double.NaN;
+    }
+
     /** Milliseconds added for 99 in 100 at a rate, between the two rates measured beside it; NaN outside. */
     double addedP99Ms(double perS) {
         TreeMap<Double, Double> byRate = new TreeMap<>();
--- a/src/test/java/gatelock/capacity/Page.java
+++ b/src/test/java/gatelock/capacity/Page.java
@@ -24,6 +24,7 @@
     private static final Pattern PART = Pattern.compile("<!-- table:([a-z-]+) -->\n(.*?)<!-- end -->", Pattern.DOTALL);
     private static final Pattern NAMED_RUN = Pattern.compile("\\| (slopes|scale) \\| `([^`]*)` \\|");
     private static final Map<String, String> ROLES = roles();
+    private static final double POOR_FIT = 0.25;
     private static final int TEXT_OF_A_FLAG = 12;
 
     private final Path page;
@@ -140,6 +141,7 @@
     private static Map<String, String> tables(Capacity capacity, Measured scale, List<Ladder.Rung> rungs) {
         Map<String, String> tables = new LinkedHashMap<>();
         tables.put("runs", runs(capacity.slopes(), scale));
+        tables.put("notes", notes(capacity.slopes(), scale));
         tables.put("inputs", inputs(capacity));
         tables.put("bounds", bounds(capacity));
         tables.put("loads", loads(capacity));
@@ -176,6 +178,16 @@
         return table.toString();
     }
 
+    /** What a run says of itself: parts that failed, were not run, or are a trial. */
+    private static String notes(Measured slopes, Measured scale) {
+        Table table = new Table("file", "part", "note");
+        for (Map.Entry<String, Measured> file : List.of(Map.entry("slopes", slopes), Map.entry("scale", scale))) {
+            file.getValue().rows("notes").fields().forEachRemaining(n -> table.row(file.getKey(), n.getKey(),
+                cell(n.getValue())));
+        }
+        return table.size() == 0 ? "The runs note nothing." : table.toString();
+    }
+
     private static String flags(String flags) {
         return flags.length() < TEXT_OF_A_FLAG ? flags : "`" + flags + "`";
     }
@@ -290,7 +302,7 @@
             String slope = name.endsWith("0") ? name.substring(0, name.length() - 1) : name;
             Target.Input input = capacity.target().inputs().get(name);
             if (Measured.KNOWN.contains(slope)) {
-                said.add(slope + (measured(capacity, slope) ? "" : " (not measured)"));
+                said.add(slope + (measured(capacity, slope) ? residual(capacity.slopes(), slope) : " (not measured)"));
             } else if (input != null && input.assumed()) {
                 said.add(name + " (assumed)");
             }
@@ -298,6 +310,12 @@
         return String.join(", ", said);
     }
 
+    /** Said where a line fits its points badly. */
+    private static String residual(Measured slopes, String slope) {
+        double residual = slopes.residual(slope);
+        return residual > POOR_FIT ? " (points up to " + percent(residual) + " off)" : "";
+    }
+
     private static boolean measured(Capacity capacity, String slope) {
         return !capacity.names(1, "target").getOrDefault(slope, Double.NaN).isNaN();
     }
--- a/src/test/java/gatelock/capacity/Questions.java
+++ b/src/test/java/gatelock/capacity/Questions.java
@@ -101,7 +101,7 @@
             "within " + Table.figure(of("inForceSBound")) + " s", "cores a relay", "MB/s out of a machine",
             "to catch up after " + Table.figure(of("regionCutS")) + " s, KB", "s at the bound");
         String text = "routes*routeBytes";
-        String compile = "(cpuPerVersionUs0+cpuPerVersionUs*routes)/1000000";
+        String compile = "max(0,cpuPerVersionUs0+cpuPerVersionUs*routes)/1000000";
         String scoped = "(" + byWeightPairs() + "/services)";
         told(table, "one text a change", "configPerS*" + text, text, "configPerS*" + compile, text);
         told(table, "one text, the newest every 7 s", "min(configPerS,1/inForceSBound)*" + text, text,
@@ -241,7 +241,7 @@
         double crest = cold + 2 * Math.sqrt(cold) + 2;
         int most = (int) Math.floor(crest);
         Table table = new Table("relays that hold it", "connections, one each, of its bound",
-            "probes of its bound", "handshakes of its cold time", "its reqs/s from one relay",
+            "probes of its bound", "handshakes of its cold time, one each at once", "its reqs/s from one relay",
             "of a cold second's " + Table.figure(cold) + " reqs, one relay's part",
             "chance that parts by budget pass " + most, "one req each as the start is told");
         double budget = of("coldPart") * cold;
@@ -261,7 +261,7 @@
         return new Table("by", "most relays that hold one unit")
             .row("connections, one each", Math.floor(of("unitConnectionsBound")))
             .row("probes", Math.floor(of("unitProbesBound*probeEveryS")))
-            .row("handshakes after a start", Math.floor(of(
+            .row("handshakes after a start, one each at once", Math.floor(of(
                 "coldHandshakesBound*unitCores*coldFrom*coldS*1000/handshakeMs")))
             .row("one req each as the start is told, budgets left aside", Math.floor(cold + 2 * Math.sqrt(cold) + 2))
             .row("a req of its own in a cold second for each", Math.floor(of("coldPart") * cold));
