--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,5 @@
-.PHONY: build demo test lint run measure-plan measure-swarm measure-sessions measure-fleet \ \
-	measure-membership scale
-
-	measure-membership measure-list measure-capacity
+.PHONY: build demo test lint run measure-plan measure-swarm measure-sessions measure-fleet scale \
+	measure-membership measure-list capacity measure-capacity
 
 build:
 	mvn -B -q -DskipTests package
@@ -69,6 +67,11 @@
 measure-list:
 	mvn -B -q -DskipTests package dependency:build-classpath -Dmdep.outputFile=target/test.classpath
 	java -cp "target/classes:target/test-classes:$$(cat target/test.classpath)" gatelock.standin.ListMeasure $(ROWS)
+# The tables and the chart of docs/CAPACITY.md, from the files in docs/capacity/.
+capacity:
+	mvn -B -q -DskipTests package dependency:build-classpath -Dmdep.outputFile=target/test.classpath
+	java -cp "target/classes:target/test-classes:$$(cat target/test.classpath)" gatelock.capacity.Page
+
 # The slopes of docs/capacity/slopes.json, measured anew.
 measure-capacity:
 	mvn -B -q -DskipTests package dependency:build-classpath -Dmdep.outputFile=target/test.classpath
