--- a/src/test/java/gatelock/capacity/ListPlay.java
+++ b/src/test/java/gatelock/capacity/ListPlay.java
@@ -60,7 +60,7 @@
         units = new Lines(turn, counters, 1_000_000, 4_000_000, 0, 8);
         String[] at = list.address("r").split(":");
         discovery = new Discovery(turn, counters, platform, new InetSocketAddress(at[0], Integer.parseInt(at[1])),
-            addresses, units, List.of("east", "west"), List.of("small"), false, new SplittableRandom(17));
+            addresses, units, List.of("east", "west"), List.of("small"), false, new SplittableRandom(17), null);
         gate = ModulePlay.gate(new Quiet(), List.of());
         long fromNs = cpuNs();
         turn.soon(() -> {
