--- a/src/test/java/gatelock/fleet/Fleet.java
+++ b/src/test/java/gatelock/fleet/Fleet.java
@@ -467,6 +467,9 @@
         /** When each stage was left, and how it ended. */
         final List<Long> stageUs = new ArrayList<>();
         int turnedAway;
+        /** When the newest build was released, and how long after that it went back; 0 where it did not. */
+        private long releasedUs;
+        private long backAfterUs;
 
         Gate.Phase phase() {
             return phase;
@@ -476,6 +479,10 @@
             return sinceUs;
         }
 
+        long backAfterUs() {
+            return backAfterUs;
+        }
+
         private double[] caps() {
             double[] caps = new double[terms.shares.length];
             for (int i = 0; i < caps.length; i++) {
@@ -558,6 +565,7 @@
                 return;
             }
             if (standing(Verdict.BACK) >= terms.voices(terms.backShare)) {
+                backAfterUs = phase == Gate.Phase.RELEASED ? nowUs - releasedUs : 0;
                 phase = Gate.Phase.REVERTING;
                 sinceUs = nowUs;
                 drain(build);
@@ -572,6 +580,7 @@
                     stage--;
                     phase = Gate.Phase.RELEASED;
                     sinceUs = nowUs;
+                    releasedUs = nowUs;
                     drain(build - 1);
                     tellAll();
                 }
