Tests: a second configuration can't join the first on its pipe

In aSighupThatComesWhileTheConfigurationIsReadForTheFirstTimeIsNotLost both configurations went through one pipe: by reading, the second writer can open it before the first reader has seen its end, so that the program would read both as one text and end. The second reading has a pipe of its own now, put in place while the first is open; no assertion changed. Seen was one verify in which the test found its program gone and no call in 60 s; that run had been started with SIGHUP ignored, so it proves nothing of this race.

--- a/src/test/java/gatelock/RelayTest.java
+++ b/src/test/java/gatelock/RelayTest.java
@@ -11,6 +11,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -468,10 +469,13 @@
         try (StandIns.Party moved = new StandIns.Party()) {
             // The program reads a pipe, and so waits in the middle of its start for as long as is wanted.
             Path pipe = Files.createTempDirectory("gatelock").resolve("configuration");
-            assertThat(new ProcessBuilder("mkfifo", pipe.toString()).start().waitFor()).isZero();
+            Path next = pipe.resolveSibling("next");
+            assertThat(new ProcessBuilder("mkfifo", pipe.toString(), next.toString()).start().waitFor()).isZero();
             all.process = all.program(pipe.toString(), "serve", "cold");
             try (OutputStream starts = Files.newOutputStream(pipe)) {
                 all.hangUp();
+                // Another pipe for the second reading: on the first one, what is written next could still join it.
+                Files.move(next, pipe, StandardCopyOption.ATOMIC_MOVE);
                 starts.write(first.getBytes(StandardCharsets.UTF_8));
             }
             StandIns.go(() -> Files.writeString(pipe, first.replace(all.discovery.address(), moved.address())));
