--- a/Makefile
+++ b/Makefile
@@ -70,6 +70,7 @@
 measure-list:
 	mvn -B -q -DskipTests package dependency:build-classpath -Dmdep.outputFile=target/test.classpath
 	java -cp "target/classes:target/test-classes:$$(cat target/test.classpath)" gatelock.standin.ListMeasure $(ROWS)
+
 # The tables and the chart of docs/CAPACITY.md, from the files in docs/capacity/.
 capacity:
 	mvn -B -q -DskipTests package dependency:build-classpath -Dmdep.outputFile=target/test.classpath
