--- a/src/main/java/gatelock/decision/Fading.java
+++ b/src/main/java/gatelock/decision/Fading.java
@@ -1,7 +1,5 @@
 package gatelock.decision;
 
-import java.util.Arrays;
-
 /** A sum and a count that fade: what was added a memory ago counts 1/e. */
 final class Fading {
     private final double memoryUs;
@@ -13,12 +11,6 @@
         this.memoryUs = memoryUs;
     }
 
-    static Fading[] some(int count, double memoryUs) {
-        Fading[] made = new Fading[count];
-        Arrays.setAll(made, i -> new Fading(memoryUs));
-        return made;
-    }
-
     private void fade(long nowUs) {
         double left = nowUs > atUs ? Math.exp((atUs - nowUs) / memoryUs) : 1;
         sum *= left;
--- a/src/main/java/gatelock/decision/Ledger.java
+++ b/src/main/java/gatelock/decision/Ledger.java
@@ -50,19 +50,6 @@
         }
     }
 
-    /** Adds an outcome, or puts it in the place of what was added for it before, where that is still held. */
-    void settle(long number, Outcome before, Outcome outcome) {
-        if (before == null) {
-            add(number, outcome);
-        } else {
-            slices.forEach(s -> s.outcomes().replaceAll(o -> o == before ? outcome : o));
-        }
-    }
-
-    void drop(Outcome outcome) {
-        slices.forEach(s -> s.outcomes().removeIf(o -> o == outcome));
-    }
-
     boolean isEmpty() {
         return slices.isEmpty();
     }
--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -166,7 +166,6 @@
     private final int number;
     private final boolean many;
     private final double unitMemoryUs;
-    private final long warmUs;
     private long leastUs; // when the stage's least time has passed: from then on all relays' turns count
     private long verdictUs;
     private Verdict verdict = Verdict.NONE;
@@ -176,18 +175,20 @@
         this.charter = charter;
         this.out = out;
         this.chance = new SplittableRandom(charter.seed());
-        this.cost = Fading.some(charter.routes().size() + 1, 20.0 * SECOND);
-        this.tenantRate = Fading.some(charter.tenants().size(), RATE_MEMORY_US);
+        this.cost = new Fading[charter.routes().size() + 1];
+        this.tenantRate = new Fading[charter.tenants().size()];
         this.routeInFlight = new int[charter.routes().size()];
-        this.routeSlow = Fading.some(charter.routes().size(), WORK_MEMORY_US);
+        this.routeSlow = new Fading[charter.routes().size()];
+        Arrays.setAll(routeSlow, i -> new Fading(WORK_MEMORY_US));
         this.topValue = charter.routes().stream().mapToDouble(Route::value).max().orElse(1);
         this.logLevel = Bootstrap.logLevel(FALSE_BACKS, charter.relays(),
             Math.max(1, charter.rollout().backVotes()));
         this.stretch = Math.max(1, Bootstrap.normalWidth(logLevel) / TAIL_WIDTH);
         this.many = charter.relays() > FEW_RELAYS;
         this.unitMemoryUs = SPEED_MEMORY_US * Math.min(LONGEST, Math.max(1, charter.relays() / FEW_RELAYS));
-        this.warmUs = Math.max(WARM_UP_US, charter.warmWithinUs());
         this.number = charter.number() >= 0 ? charter.number() : chance.nextInt(charter.relays());
+        Arrays.setAll(cost, i -> new Fading(20.0 * SECOND));
+        Arrays.setAll(tenantRate, i -> new Fading(RATE_MEMORY_US));
     }
 
     /** Guards against this relay having stood still: what then waits came late through no unit's fault. */
@@ -216,7 +217,7 @@
                        Bounds bounds) {
         clock(nowUs);
         Rq rq = new Rq(id, route, tenant, key, nowUs + leftUs, costUs, bounds);
-        builds.values().forEach(b -> b.room.earn(route, b.capNow()));
+        builds.values().forEach(b -> b.earn(route));
         retryTokens = Math.min(RETRY_BURST, retryTokens + RETRY_SHARE);
         if (tenant < tenantRate.length) {
             tenantRate[tenant].add(nowUs, 1);
@@ -234,12 +235,17 @@
         clock(nowUs);
         Unit u = units.get(unit);
         if (first) {
-            builds.values().forEach(b -> b.room.earn(route, b.capNow()));
+            builds.values().forEach(b -> b.earn(route));
         }
         if (u == null || !u.mayGetNew()) {
             return Passing.NEVER;
         }
-        return !u.build.onTrial() || u.build.room.take(route) ? Passing.NOW : Passing.LATER;
+        boolean trial = u.build.onTrial();
+        if (trial && u.build.room[u.build.slot(route)] < 1) {
+            return Passing.LATER;
+        }
+        u.build.room[u.build.slot(route)] -= trial ? 1 : 0;
+        return Passing.NOW;
     }
 
     @Override
@@ -325,7 +331,7 @@
         Unit u = units.get(unit);
         if (u != null && nowUs - agoUs >= u.at.startUs()) {
             // A wrong answer is an error of the build; it looked like any other when it came.
-            u.build.own.add(nowUs / SLICE_US, new Outcome(u, u.at.kind(), true, false, 0, 0, u.ageUs()));
+            u.build.record(u, true, false, 0, 0);
         }
     }
 
@@ -358,11 +364,11 @@
         } else if (token == BEAT) {
             out.timer(BEAT_US, BEAT);
             List.copyOf(triesOut).forEach(t -> t.unit.lookForOverdue(t));
+            List<Unit> ready = builds.values().stream().flatMap(b -> b.ready.stream()).toList();
             // Guards against a zone cut off or gone before the list says so: all its units would be tried.
             // Could harm where its sick units had the few tries: a tenth still goes there.
             lostZones = zones.silent(nowUs, FEWEST_OF_ZONE, MOST, SICK_ERRORS);
-            List<Unit> there = builds.values().stream().flatMap(b -> b.ready.stream())
-                .filter(u -> !lostZones.contains(u.at.zone())).toList();
+            List<Unit> there = ready.stream().filter(u -> !lostZones.contains(u.at.zone())).toList();
             someBad = there.stream().filter(Unit::looksBad).count() <= MOST * there.size();
             weigh();
         } else if (token == ASK_LIST) {
@@ -418,9 +424,7 @@
                 turnAway();
                 return;
             }
-            if (unit.build.onTrial()) {
-                unit.build.room.take(routeNo);
-            }
+            unit.build.room[unit.build.slot(routeNo)] -= unit.build.onTrial() ? 1 : 0;
             Try t = new Try(unit);
             tries.add(t);
             triesOut.add(t);
@@ -537,7 +541,6 @@
             private Ending ending;
             private boolean cancelled;
             private boolean overdue;
-            private Outcome slow; // as which it counts since it was past the bar
 
             Try(Unit unit) {
                 this.unit = unit;
@@ -558,15 +561,14 @@
         private final List<Unit> ready = new ArrayList<>();
         private final Ledger own = new Ledger(EARLIER_SLICES, MOST_HELD, chance);
         private final Ledger counts = new Ledger(EARLIER_SLICES * charter.routes().size(), 0, chance);
-        private final Exposure room;
+        private final double[] room;
         private final Fading slowness = new Fading(SPEED_MEMORY_US);
         private final Fading ahead = new Fading(RATE_MEMORY_US);
-        private SlowBar bar = new SlowBar(List.of(), new LikeLoad(List.of(), 1, 0), 0, 0, Long.MAX_VALUE);
 
         Build(int number) {
             this.number = number;
-            room = new Exposure(charter.rollout().perRoute() ? charter.routes().size() : 1,
-                charter.rollout().free());
+            room = new double[charter.rollout().perRoute() ? charter.routes().size() : 1];
+            Arrays.fill(room, charter.rollout().free());
         }
 
         private boolean onTrial() {
@@ -578,9 +580,18 @@
             return number == newest ? cap : caps.length == 0 ? 0 : caps[0];
         }
 
+        /** Rule 5, for any window: room never exceeds 'free', so none opens after the reqs that earned it. */
+        private void earn(int route) {
+            room[slot(route)] = Math.min(charter.rollout().free(), room[slot(route)] + capNow());
+        }
+
+        private int slot(int route) {
+            return Math.min(route, room.length - 1);
+        }
+
         private boolean mayTake(Rq rq) {
             boolean guarded = (number == newest ? stage : 0) < charter.rollout().guardedStages();
-            return isOpen() && keyAllows(rq) && (!onTrial() || room.has(rq.routeNo)
+            return isOpen() && keyAllows(rq) && (!onTrial() || room[slot(rq.routeNo)] >= 1
                 && (!guarded || rq.route.repeat() == Route.Repeat.RETRIABLE));
         }
 
@@ -612,12 +623,17 @@
                     boolean better = best == null || (few && open != best.connected() ? open
                         : u.expectedWait(rq) < best.expectedWait(rq));
                     best = better ? u : best;
-                    boolean stands = charter.openingPrice() == 0 || onTrial() || u.idle.stand(nowUs);
+                    boolean stands = charter.openingPrice() == 0 || onTrial() || u.lineStands();
                     found += (few ? open : stands || i >= LOOKS - 1) ? 1 : 0;
                 }
             }
             return best;
         }
+
+        private void record(Unit unit, boolean failed, boolean late, double slowness, double load) {
+            long ageUs = unit.at.startUs() > 0 ? nowUs - unit.at.startUs() : Long.MAX_VALUE;
+            own.add(nowUs / SLICE_US, new Outcome(unit, unit.at.kind(), failed, late, slowness, load, ageUs));
+        }
     }
 
     // ---- A unit -------------------------------------------------------------------------------------------
@@ -636,7 +652,9 @@
         private long lastAnswerUs = Long.MIN_VALUE / 2;
         private double waiting;
         private long waitingAtUs = Long.MIN_VALUE / 2;
-        private final IdleConnections idle = new IdleConnections(charter.keptUs());
+        /** Connections that stand without a req, and when the last of them was left so. */
+        private int idle;
+        private long idleAtUs = Long.MIN_VALUE / 2;
 
         Unit(Listed l, Build build) {
             this.at = l;
@@ -647,17 +665,17 @@
             ahead.add(nowUs, out.size());
             build.ahead.add(nowUs, out.size());
             out.add(t);
-            idle.used(nowUs);
+            idle = lineStands() ? idle - 1 : 0;
             budget -= t.rq.costUs * Math.max(1, build.slowness.mean(nowUs, 0) / usualSlowness(at.kind()));
         }
 
         private void ended(Rq.Try t, Ending ending, long tookUs, Load load) {
             out.remove(t);
             if (ending == Ending.COMPLETED || ending == Ending.ERRORED || ending == Ending.TURNED_AWAY) {
-                idle.left(nowUs);
+                idle = (lineStands() ? idle : 0) + 1;
+                idleAtUs = nowUs;
             }
             if (ending == Ending.NOT_SENT || ending == Ending.CANCELLED && !t.cancelled) {
-                build.own.drop(ending == Ending.NOT_SENT ? t.slow : null);
                 return;
             }
             // What a route needs on any unit, more than others, says nothing of this one or its build.
@@ -713,32 +731,9 @@
                     || (unheard || ending == Ending.COMPLETED) && stoodUs == nowUs) {
                 return;
             }
-            boolean failed = ending != Ending.COMPLETED && !unheard;
-            build.own.settle(nowUs / SLICE_US, t.slow, outcome(t, failed, tookUs, out.size()));
-        }
-
-        private Outcome outcome(Rq.Try t, boolean failed, long tookUs, int others) {
-            double load = (t.ahead + others) / 2.0
-                + (charter.relays() - 1) * ahead.drawn(nowUs, build.ahead.mean(nowUs, 0), PRIOR);
-            return new Outcome(this, at.kind(), failed, tookUs > t.rq.route.objectiveUs(),
-                (double) tookUs / t.rq.costUs / timesOthers(t.rq.routeNo), load, ageUs());
-        }
-
-        private long ageUs() {
-            return at.startUs() > 0 ? nowUs - at.startUs() : Long.MAX_VALUE;
-        }
-
-        /**
-         * Guards against a build that is found slow only once its reqs have run out of time: a try that is
-         * still out past the bar counts as slow there and then, once, and by its ending in place of that.
-         * Could harm where a trouble holds up tries of the newest build alone.
-         */
-        private void lookForSlow(Rq.Try t) {
-            Outcome soFar = outcome(t, false, nowUs - t.sentUs, out.size() - 1);
-            if (t.slow == null && build.number == newest && stoodUs != nowUs && build.bar.isPast(soFar)) {
-                t.slow = soFar;
-                build.own.add(nowUs / SLICE_US, soFar);
-            }
+            double others = (charter.relays() - 1) * ahead.drawn(nowUs, build.ahead.mean(nowUs, 0), PRIOR);
+            build.record(this, ending != Ending.COMPLETED && !unheard, tookUs > t.rq.route.objectiveUs(),
+                slow, (t.ahead + out.size()) / 2.0 + others);
         }
 
         /**
@@ -748,7 +743,6 @@
          * Could harm where announced work says little of the time it takes.
          */
         private void lookForOverdue(Rq.Try t) {
-            lookForSlow(t);
             double usual = Math.max(slowness.mean(nowUs, 0), usualSlowness(at.kind())) * t.rq.costUs;
             if (t.overdue || stoodUs == nowUs || hopeless(t.rq.routeNo)
                     || nowUs - t.sentUs <= OVERDUE_US + OVERDUE_TIMES * usual) {
@@ -783,12 +777,12 @@
         }
 
         private boolean cold() {
-            return ageUs() < charter.warmWithinUs();
+            return at.startUs() > 0 && nowUs - at.startUs() < charter.warmWithinUs();
         }
 
         /** The part of its capacity that a unit of this age surely has. */
         private double able() {
-            double warm = cold() ? Math.max(0.0, ageUs()) / charter.warmWithinUs() : 1;
+            double warm = cold() ? Math.max(0.0, nowUs - at.startUs()) / charter.warmWithinUs() : 1;
             return charter.coldFrom() + (1 - charter.coldFrom()) * warm;
         }
 
@@ -819,10 +813,15 @@
         /** In announced work; not on trial a new connection counts as the wait that costs as much worth. */
         private double expectedWait(Rq rq) {
             double queue = nowUs - waitingAtUs < SECOND ? waiting : 0;
-            double opening = idle.stand(nowUs) || build.onTrial() ? 0
+            double opening = lineStands() || build.onTrial() ? 0
                 : charter.openingPrice() * rq.route.objectiveUs() / rq.costUs;
             return slowness.drawn(nowUs, usualSlowness(at.kind()), 1) * (out.size() + 1 + queue) + opening;
         }
+
+        /** Whether a connection to it surely stands without a req. */
+        private boolean lineStands() {
+            return idle > 0 && nowUs - idleAtUs < charter.keptUs();
+        }
     }
 
     /**
@@ -1001,7 +1000,7 @@
      */
     private Finding find(Build trial, Build earlier) {
         if (earlier == null) {
-            return many ? oneOfMany(trial, List.of(), List.of()) : Finding.NO_VERDICT;
+            return many ? oneOfMany(trial.own.from(weighedFrom()), List.of(), List.of()) : Finding.NO_VERDICT;
         }
         Finding found = compare(trial, trial.own, earlier.own, earlier.own.all(), MARGIN, FLEET_MARGIN,
             stretch);
@@ -1022,7 +1021,7 @@
         boolean fails = slow || found == Finding.ERRORS;
         String said = ground;
         if (!fails && its == trial.own && many) {
-            Finding asOne = oneOfMany(trial, theirs, earlier.from(weighedFrom()));
+            Finding asOne = oneOfMany(mine, theirs, earlier.from(weighedFrom()));
             if (asOne != Finding.NO_VERDICT) {
                 return asOne;
             }
@@ -1084,7 +1083,7 @@
         }
         LikeLoad like = new LikeLoad(theirs, LOAD_STEPS, FEWEST / 2);
         double[][] there = like.against(theirs, 0);
-        double[][] here = like.against(mine, warmUs);
+        double[][] here = like.against(mine, Math.max(WARM_UP_US, charter.warmWithinUs()));
         if (here.length < fewest || there.length == 0) {
             return Finding.NO_VERDICT;
         }
@@ -1103,20 +1102,22 @@
      * at the level at which as many voices as send it back are not wrong together. Units are counted. Could
      * harm where a trouble strikes mostly units on trial.
      */
-    private Finding oneOfMany(Build trial, List<Slice> theirs, List<Slice> lately) {
-        List<Slice> mine = trial.own.from(weighedFrom());
-        // A relay that has just started knows no earlier times: a route's objective stands for the bar.
-        LikeLoad like = new LikeLoad(theirs, LOAD_STEPS, FEWEST / 2);
-        SlowBar bar = new SlowBar(theirs, like, MARGIN, PERCENTILE, warmUs);
-        trial.bar = bar;
+    private Finding oneOfMany(List<Slice> mine, List<Slice> theirs, List<Slice> lately) {
         double errorBar = Math.max(ERROR_BAR, MARGIN * Math.max(Slice.errors(theirs), Slice.errors(lately)));
         Finding errors = past(Slice.seen(mine), Slice.outcomes(mine).filter(Outcome::failed), errorBar,
             Finding.ERRORS);
         if (errors == Finding.ERRORS) {
             return errors;
         }
-        List<Outcome> warm = Slice.outcomes(mine).filter(bar::tellsOf).toList();
-        Finding slow = past(warm.size(), warm.stream().filter(bar::isPast), 1 - PERCENTILE, Finding.SLOW);
+        LikeLoad like = new LikeLoad(theirs, LOAD_STEPS, FEWEST / 2);
+        double[][] there = like.against(theirs, 0);
+        // A relay that has just started knows no earlier times: a route's objective stands for the bar.
+        double bar = MARGIN * Bootstrap.percentile(there, Bootstrap.once(theirs.size()), PERCENTILE);
+        long warmUs = Math.max(WARM_UP_US, charter.warmWithinUs());
+        List<Outcome> warm = Slice.outcomes(mine).filter(o -> !o.failed() && o.ageUs() > warmUs
+            && !(there.length > 0 && Double.isNaN(like.usual(o)))).toList();
+        Finding slow = past(warm.size(), warm.stream().filter(o -> there.length == 0 ? o.late()
+            : o.slowness() / like.usual(o) > bar), 1 - PERCENTILE, Finding.SLOW);
         return slow == Finding.NO_VERDICT ? errors : slow;
     }
 
