--- a/src/test/java/gatelock/capacity/Page.java
+++ b/src/test/java/gatelock/capacity/Page.java
@@ -155,6 +155,7 @@
         tables.put("ladder", ladder(capacity, rungs));
         tables.put("ladder-lost", lost(rungs));
         Questions questions = new Questions(capacity);
+        tables.put("answers", questions.answers().toString());
         tables.put("who-serves", questions.scope().toString());
         tables.put("tenants-met", questions.tenants().toString());
         tables.put("how-changes", questions.changes().toString());
--- a/src/test/java/gatelock/capacity/Questions.java
+++ b/src/test/java/gatelock/capacity/Questions.java
@@ -38,14 +38,14 @@
         double kept = Math.min(units, services * of("unitsAService"));
         table.row(way, services, units, of("heapPerUnit/1000000") * units, kept,
             of("heapPerUnit/1000000") * kept, relaysAService, of("peakPerS/services*firstCap*weighedS")
-                / relaysAService, busiest);
+                / relaysAService, relaysAService * kept / units, busiest);
     }
 
     Table scope() {
         Table table = new Table("way", "services a relay", "their units", "heap of these, MB",
             "units kept, " + Table.figure(of("unitsAService")) + " a service", "heap of these, MB",
             "relays a service", "outcomes of the mean service in a first stage, a relay",
-            "busiest relay to the mean, low and high skew");
+            "relays at one unit", "busiest relay to the mean, high skew");
         way(table, "all relays all services", of("services"), of("relays"), 1);
         for (int k : RELAYS_A_ZONE) {
             double services = of("services") * k / of("relaysAZone");
@@ -218,14 +218,18 @@
     }
 
     private void alone(Table table, String service, double outcomes) {
-        table.row(service, outcomes, Math.floor(outcomes / of("fewestOutcomes")), widest(outcomes, 0.3),
-            widest(outcomes, 0.1));
+        table.row(service, outcomes, alone(outcomes), widest(outcomes, 0.3), widest(outcomes, 0.1));
+    }
+
+    private double alone(double outcomes) {
+        return Math.min(of("relays"), Math.floor(outcomes / of("fewestOutcomes")));
     }
 
     private double widest(double outcomes, double errors) {
         int most = (int) of("relays");
         int widest = 0;
-        for (int relays = 1; relays <= most; relays = Math.max(relays + 1, relays * 21 / 20)) {
+        for (int relays = 1; relays <= most;
+                relays = relays == most ? most + 1 : Math.min(most, Math.max(relays + 1, relays * 21 / 20))) {
             int seen = (int) Math.min(MOST_OUTCOMES, outcomes / relays);
             if (Voices.found(seen, MOST_OUTCOMES, errors, of("errorBar"), level(relays)) >= share(relays)) {
                 widest = relays;
@@ -267,6 +271,37 @@
             .row("a req of its own in a cold second for each", Math.floor(of("coldPart") * cold));
     }
 
+    // ---- The four answers ---------------------------------------------------------------------------------
+
+    Table answers() {
+        double mean = of("peakPerS*firstCap*weighedS/services");
+        double atOne = of("leastAZone*zones*unitsAService/(units/services)");
+        return new Table("question", "answer")
+            .row("a: who serves what", text("each service at some relays of a zone, by its weight, at least %s: the "
+                + "mean service at %s relays, %s relays at one unit; by demand a relay would hold %s to %s of %s "
+                + "services", of("leastAZone"), of("leastAZone*zones"), atOne,
+                zipf("Services", "High").distinct(of("meanReqs*demandS")),
+                zipf("Services", "Low").distinct(of("meanReqs*demandS")), of("services")))
+            .row("b: how changes come", text("by difference, gathered for %s s: %s bytes/s a relay in the busy hour; one "
+                + "text takes %s s at the bound of bytes, where %s s are allowed", of("batchS"),
+                of("configPerS*busyHour*configChangeBytes"), of("routes*routeBytes/relayBytesPerSBound"),
+                of("inForceSBound")))
+            .row("c: who can vote", text("the mean service's trial has %s outcomes in %s s of its first stage: each relay "
+                + "alone stops to work past %s relays by the page's %s outcomes, past %s by the exact interval where a "
+                + "build fails 30%% of reqs, past %s where it fails 10%%; all relays are %s", mean, of("weighedS"),
+                alone(mean), of("fewestOutcomes"), widest(mean, 0.3), widest(mean, 0.1), of("relays")))
+            .row("d: how many hold a unit", text("%s for a req of its own in a cold second, %s where each sent one at once, "
+                + "%s by probes, %s by handshakes, %s by connections; by weight (a) there are %s",
+                Math.floor(of("coldPart*coldReqsBound")), Math.floor(of("coldReqsBound+2*sqrt(coldReqsBound)+2")),
+                Math.floor(of("unitProbesBound*probeEveryS")),
+                Math.floor(of("coldHandshakesBound*unitCores*coldFrom*coldS*1000/handshakeMs")),
+                of("unitConnectionsBound"), atOne));
+    }
+
+    private static String text(String form, Double... figures) {
+        return String.format(form, java.util.Arrays.stream(figures).map(Table::figure).toArray());
+    }
+
     private static String factor(double factor) {
         return factor > 1 ? "**" + Table.figure(factor) + "**" : Table.figure(factor);
     }
