--- a/src/test/java/gatelock/capacity/CapacityPageTest.java
+++ b/src/test/java/gatelock/capacity/CapacityPageTest.java
@@ -34,6 +34,7 @@
         Files.copy(DATA.resolve("target.json"), agreed.resolve("target.json"));
         Files.copy(DATA.resolve("lines.json"), agreed.resolve("lines.json"));
         Files.copy(FIXTURES.resolve("slopes.json"), agreed.resolve("slopes.json"));
+        Files.copy(FIXTURES.resolve("membership.json"), agreed.resolve("membership.json"));
         Files.copy(FIXTURES.resolve("scale.json"), agreed.resolve("scale.json"));
         Page page = new Page(agreed.resolve("CAPACITY.md"), agreed);
         page.write();
@@ -101,6 +102,17 @@
         assertThat(page.problems()).contains("the page names run fixture-1 for slopes, the file is of run fixture-9");
     }
 
+    @Test
+    void slopesOfAScopeOfAnotherRunOrChangedAreSeen() throws IOException {
+        change("membership.json", "fixture-3", "fixture-9");
+        assertThat(page.problems()).contains(
+            "the page names run fixture-3 for membership, the file is of run fixture-9");
+        change("membership.json", "fixture-9", "fixture-3");
+        assertThat(page.problems()).isEmpty();
+        change("membership.json", "\"slope\": 60", "\"slope\": 66");
+        assertThat(page.problems()).anyMatch(p -> p.contains("table slopes")).anyMatch(p -> p.contains("table ladder"));
+    }
+
     @Test
     void scaleOfAnotherRunIsSeen() throws IOException {
         change("scale.json", "fixture-2", "fixture-9");
--- a/src/test/java/gatelock/capacity/Fit.java
+++ b/src/test/java/gatelock/capacity/Fit.java
@@ -7,10 +7,10 @@
  *
  * @param residual the largest distance of a point from the line, as a share of the line's value there
  */
-record Fit(double slope, double intercept, double residual) {
+public record Fit(double slope, double intercept, double residual) {
 
     /** @param points of x and y; at least two values of x differ */
-    static Fit of(List<double[]> points) {
+    public static Fit of(List<double[]> points) {
         double meanX = points.stream().mapToDouble(p -> p[0]).average().orElseThrow();
         double meanY = points.stream().mapToDouble(p -> p[1]).average().orElseThrow();
         double xx = points.stream().mapToDouble(p -> (p[0] - meanX) * (p[0] - meanX)).sum();
--- a/src/test/java/gatelock/capacity/Measured.java
+++ b/src/test/java/gatelock/capacity/Measured.java
@@ -2,6 +2,8 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.MissingNode;
 
 import java.io.IOException;
@@ -15,7 +17,7 @@
 import java.util.TreeMap;
 
 /**
- * What a run has measured: docs/capacity/slopes.json and scale.json. Whatever such a file lacks is not measured; the
+ * What a run has measured: docs/capacity/slopes.json, membership.json and scale.json. Whatever such a file lacks is not measured; the
  * id of its run it must have.
  */
 final class Measured {
@@ -29,21 +31,35 @@
         "distributorCpuPerMessageUs", "deskCpuPerVoteUs", "operatorCpuPerScrapeUs");
 
     private final JsonNode file;
+    /** Of this run, and of others whose slopes stand beside. */
+    private final ArrayNode slopes;
 
-    private Measured(JsonNode file) {
+    private Measured(JsonNode file, ArrayNode slopes) {
         this.file = file;
+        this.slopes = slopes;
+    }
+
+    private static Measured of(JsonNode file) {
+        ArrayNode slopes = JsonNodeFactory.instance.arrayNode();
+        file.path("slopes").forEach(slopes::add);
+        return new Measured(file, slopes);
+    }
+
+    /** This run with the slopes of another one behind its own. */
+    Measured with(Measured other) {
+        return new Measured(file, slopes.deepCopy().addAll(other.slopes));
     }
 
     /** @throws IOException where the file is there and can't be read, or names no run */
     static Measured read(Path file) throws IOException {
         if (!Files.exists(file)) {
-            return new Measured(MissingNode.getInstance());
+            return of(MissingNode.getInstance());
         }
         JsonNode read = new ObjectMapper().readTree(file.toFile());
         if (read.path("run").path("id").asText().isBlank()) {
             throw new IOException(file + ": no run.id");
         }
-        return new Measured(read);
+        return of(read);
     }
 
     String runId() {
@@ -55,13 +71,13 @@
     }
 
     JsonNode rows(String name) {
-        return file.path(name);
+        return name.equals("slopes") ? slopes : file.path(name);
     }
 
     /** Slopes and, with a 0 behind the name, intercepts. */
     Map<String, Double> values() {
         Map<String, Double> values = new LinkedHashMap<>();
-        file.path("slopes").forEach(s -> {
+        slopes.forEach(s -> {
             put(values, s.path("name").asText(), s.path("slope"));
             put(values, s.path("name").asText() + "0", s.path("intercept"));
         });
@@ -76,7 +92,7 @@
 
     /** The largest distance of a slope's point from its line, as a share; NaN: not measured. */
     double residual(String name) {
-        for (JsonNode slope : file.path("slopes")) {
+        for (JsonNode slope : slopes) {
             if (name.equals(slope.path("name").asText())) {
                 return slope.path("residual").asDouble(Double.NaN);
             }
--- a/src/test/java/gatelock/capacity/Page.java
+++ b/src/test/java/gatelock/capacity/Page.java
@@ -22,7 +22,7 @@
  */
 final class Page {
     private static final Pattern PART = Pattern.compile("<!-- table:([a-z-]+) -->\n(.*?)<!-- end -->", Pattern.DOTALL);
-    private static final Pattern NAMED_RUN = Pattern.compile("\\| (slopes|scale) \\| `([^`]*)` \\|");
+    private static final Pattern NAMED_RUN = Pattern.compile("\\| (slopes|membership|scale) \\| `([^`]*)` \\|");
     private static final Map<String, String> ROLES = roles();
     private static final double POOR_FIT = 0.25;
     private static final int TEXT_OF_A_FLAG = 12;
@@ -66,15 +66,18 @@
     }
 
     /** What the files give. */
-    private record Made(Map<String, String> tables, String chart, Capacity capacity, Measured scale) {
+    private record Made(Map<String, String> tables, String chart, Map<String, Measured> runs, Capacity capacity) {
     }
 
     private Made made() throws IOException {
+        Map<String, Measured> runs = new LinkedHashMap<>();
+        for (String file : List.of("slopes", "membership", "scale")) {
+            runs.put(file, Measured.read(data.resolve(file + ".json")));
+        }
         Capacity capacity = new Capacity(Target.read(data.resolve("target.json")),
-            Measured.read(data.resolve("slopes.json")), Lines.read(data.resolve("lines.json")));
-        Measured scale = Measured.read(data.resolve("scale.json"));
+            runs.get("slopes").with(runs.get("membership")), Lines.read(data.resolve("lines.json")));
         List<Ladder.Rung> rungs = Ladder.climb(capacity);
-        return new Made(tables(capacity, scale, rungs), Chart.svg(capacity.target(), rungs), capacity, scale);
+        return new Made(tables(capacity, runs, rungs), Chart.svg(capacity.target(), rungs), runs, capacity);
     }
 
     private static String filled(String text, Map<String, String> tables) {
@@ -102,7 +105,7 @@
         }
         made.tables.keySet().stream().filter(name -> !seen.contains(name)).forEach(name ->
             problems.add("table " + name + " is missing"));
-        runs(text, Map.of("slopes", made.capacity.slopes().runId(), "scale", made.scale.runId()), problems);
+        runs(text, made.runs, problems);
         if (!Files.exists(chart()) || !Files.readString(chart()).equals(made.chart)) {
             problems.add("the chart is not what the files give: run make capacity");
         }
@@ -110,13 +113,14 @@
         return problems;
     }
 
-    private static void runs(String text, Map<String, String> runs, List<String> problems) {
+    private static void runs(String text, Map<String, Measured> runs, List<String> problems) {
         Map<String, String> named = new LinkedHashMap<>();
         Matcher run = NAMED_RUN.matcher(text);
         while (run.find()) {
             named.put(run.group(1), run.group(2));
         }
-        runs.forEach((file, id) -> {
+        runs.forEach((file, measured) -> {
+            String id = measured.runId();
             if (!id.equals(named.get(file))) {
                 problems.add("the page names run " + named.get(file) + " for " + file + ", the file is of run " + id);
             }
@@ -138,10 +142,11 @@
 
     // ---- Tables --------------------------------------------------------------------------------------------
 
-    private static Map<String, String> tables(Capacity capacity, Measured scale, List<Ladder.Rung> rungs) {
+    private static Map<String, String> tables(Capacity capacity, Map<String, Measured> runs,
+        List<Ladder.Rung> rungs) {
         Map<String, String> tables = new LinkedHashMap<>();
-        tables.put("runs", runs(capacity.slopes(), scale));
-        tables.put("notes", notes(capacity.slopes(), scale));
+        tables.put("runs", runs(runs));
+        tables.put("notes", notes(runs));
         tables.put("inputs", inputs(capacity));
         tables.put("bounds", bounds(capacity));
         tables.put("loads", loads(capacity));
@@ -164,13 +169,13 @@
         tables.put("votes-alone", questions.alone().toString());
         tables.put("holders", questions.holders().toString());
         tables.put("most-holders", questions.mostHolders().toString());
-        tables.put("scale", scale(scale));
+        tables.put("scale", scale(runs.get("scale")));
         return tables;
     }
 
-    private static String runs(Measured slopes, Measured scale) {
+    private static String runs(Map<String, Measured> runs) {
         Table table = new Table("file", "run", "date", "commit", "cores", "machine", "Java", "flags of a relay");
-        for (Map.Entry<String, Measured> file : List.of(Map.entry("slopes", slopes), Map.entry("scale", scale))) {
+        for (Map.Entry<String, Measured> file : runs.entrySet()) {
             JsonNode run = file.getValue().run();
             table.row(file.getKey(), "`" + file.getValue().runId() + "`", run.path("date").asText(),
                 run.path("commit").asText(), run.path("cores").asText(), run.path("machine").asText(),
@@ -180,9 +185,9 @@
     }
 
     /** What a run says of itself: parts that failed, were not run, or are a trial. */
-    private static String notes(Measured slopes, Measured scale) {
+    private static String notes(Map<String, Measured> runs) {
         Table table = new Table("file", "part", "note");
-        for (Map.Entry<String, Measured> file : List.of(Map.entry("slopes", slopes), Map.entry("scale", scale))) {
+        for (Map.Entry<String, Measured> file : runs.entrySet()) {
             file.getValue().rows("notes").fields().forEachRemaining(n -> table.row(file.getKey(), n.getKey(),
                 cell(n.getValue())));
         }
--- a/src/test/java/gatelock/membership/ScopeMeasure.java
+++ b/src/test/java/gatelock/membership/ScopeMeasure.java
@@ -1,5 +1,6 @@
 package gatelock.membership;
 
+import gatelock.capacity.Fit;
 import gatelock.relay.Listed;
 
 import java.io.IOException;
@@ -13,6 +14,7 @@
 import java.util.Locale;
 import java.util.SplittableRandom;
 import java.util.function.IntToDoubleFunction;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
 /**
@@ -522,29 +524,15 @@
     }
 
     private static String slope(String name, String what, String y, double[] x, double[] ys, String how) {
-        int n = x.length;
-        double meanX = Arrays.stream(x).average().orElse(0);
-        double meanY = Arrays.stream(ys).average().orElse(0);
-        double xy = 0;
-        double xx = 0;
-        for (int i = 0; i < n; i++) {
-            xy += (x[i] - meanX) * (ys[i] - meanY);
-            xx += (x[i] - meanX) * (x[i] - meanX);
-        }
-        double slope = xy / xx;
-        double intercept = meanY - slope * meanX;
-        double residual = 0;
-        StringBuilder points = new StringBuilder();
-        for (int i = 0; i < n; i++) {
-            residual = Math.max(residual, Math.abs(ys[i] - intercept - slope * x[i]));
-            points.append(i == 0 ? "" : ", ").append(String.format("[%.0f, %.3f]", x[i], ys[i]));
-        }
+        List<double[]> measured = IntStream.range(0, x.length).mapToObj(i -> new double[] {x[i], ys[i]}).toList();
+        Fit fit = Fit.of(measured);
+        String points = measured.stream().map(p -> String.format("[%.0f, %.3f]", p[0], p[1]))
+            .collect(Collectors.joining(", "));
         return String.format("    {\"name\": \"%s\", \"what\": \"%s\", \"x\": \"units listed\", \"y\": "
             + "\"%s\",%n"
             + "      \"points\": [%s],%n      \"slope\": %.6g, \"intercept\": %.6g, \"residual\": %.6g,%n"
-            + "      \"how\": \"%s; least squares, residual is the largest distance\"}", name, what, y,
-            points, slope,
-            intercept, residual, how);
+            + "      \"how\": \"%s; least squares\"}", name, what, y, points,
+            fit.slope(), fit.intercept(), fit.residual(), how);
     }
 
     /** 200,000 units in the memory that a relay has: says how it went, ten whole lists and 2,000 restarts. */
