--- a/src/test/java/gatelock/capacity/ModulePlay.java
+++ b/src/test/java/gatelock/capacity/ModulePlay.java
@@ -13,6 +13,7 @@
 import gatelock.relay.Route;
 import gatelock.relay.Verdict;
 import gatelock.standin.LongList;
+import gatelock.standin.Reach;
 
 import java.lang.management.ManagementFactory;
 import java.lang.management.ThreadMXBean;
@@ -102,27 +103,8 @@
 
     private void req(boolean scoped) {
         Set<String> service = services.get(chance.nextInt(services.size()));
-        Bounds bounds = scoped ? new Bounds() {
-            @Override
-            public boolean reaches(String unit) {
-                return service.contains(unit);
-            }
-
-            @Override
-            public int mostTries() {
-                return Integer.MAX_VALUE;
-            }
-
-            @Override
-            public long tryUs() {
-                return 0;
-            }
-
-            @Override
-            public boolean goesOn(long nowUs, Ending last) {
-                return true;
-            }
-        } : Bounds.NONE;
+        Reach within = service::contains;
+        Bounds bounds = scoped ? within : Bounds.NONE;
         long before = sent;
         Handle handle = gate.take(nowUs, "r" + ids++, 0, 0, Gate.NO_KEY, LEFT_US, COST_US, bounds);
         if (sent > before) {
--- a/src/test/java/gatelock/fleet/Fleet.java
+++ b/src/test/java/gatelock/fleet/Fleet.java
@@ -14,6 +14,7 @@
 import gatelock.relay.Rollout;
 import gatelock.relay.Route;
 import gatelock.relay.Verdict;
+import gatelock.standin.Reach;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -106,26 +107,11 @@
     enum Fault { NONE, CHANGE_MISSED, DRAIN_LATE, HELD_BY_ALL }
 
     /** A service: its reqs reach its units alone, as a pool of a plan has it. */
-    private record Service(String name, Set<String> names, double upTo) implements Bounds {
+    private record Service(String name, Set<String> names, double upTo) implements Reach {
         @Override
         public boolean reaches(String unit) {
             return names.contains(unit);
         }
-
-        @Override
-        public int mostTries() {
-            return Integer.MAX_VALUE;
-        }
-
-        @Override
-        public long tryUs() {
-            return 0;
-        }
-
-        @Override
-        public boolean goesOn(long nowUs, Ending last) {
-            return true;
-        }
     }
 
     private record Due(long atUs, long order, Runnable what) {
--- /dev/null
+++ b/src/test/java/gatelock/standin/Reach.java
@@ -0,0 +1,23 @@
+package gatelock.standin;
+
+import gatelock.relay.Bounds;
+import gatelock.relay.Ending;
+
+/** Bounds that name the units a req may reach, as a pool of a plan does, and nothing else. */
+@FunctionalInterface
+public interface Reach extends Bounds {
+    @Override
+    default int mostTries() {
+        return NONE.mostTries();
+    }
+
+    @Override
+    default long tryUs() {
+        return NONE.tryUs();
+    }
+
+    @Override
+    default boolean goesOn(long nowUs, Ending last) {
+        return NONE.goesOn(nowUs, last);
+    }
+}
