--- a/src/test/java/gatelock/LongDayTest.java
+++ b/src/test/java/gatelock/LongDayTest.java
@@ -11,10 +11,9 @@
 import gatelock.relay.Handle;
 import gatelock.relay.Listed;
 import gatelock.relay.Load;
-import gatelock.relay.Outlet;
 import gatelock.relay.Rollout;
 import gatelock.relay.Route;
-import gatelock.relay.Verdict;
+import gatelock.standin.QuietOutlet;
 
 import java.lang.reflect.Field;
 import java.net.InetSocketAddress;
@@ -83,38 +82,10 @@
     }
 
     /** Notes where tries go. */
-    private final class Noting implements Outlet {
+    private final class Noting implements QuietOutlet {
         @Override
         public void send(String id, String unit, long timeoutUs) {
             sentTo.add(unit);
         }
-
-        @Override
-        public void shed(String id, long pauseUs) {
-        }
-
-        @Override
-        public void error(String id) {
-        }
-
-        @Override
-        public void cancel(String id, int tryNo) {
-        }
-
-        @Override
-        public void vote(int build, int stage, Verdict verdict) {
-        }
-
-        @Override
-        public void timer(long inUs, long token) {
-        }
-
-        @Override
-        public void followList() {
-        }
-
-        @Override
-        public void say(String line) {
-        }
     }
 }
--- a/src/test/java/gatelock/capacity/ListPlay.java
+++ b/src/test/java/gatelock/capacity/ListPlay.java
@@ -4,13 +4,12 @@
 import gatelock.kept.Counters;
 import gatelock.plan.Admission;
 import gatelock.relay.Gate;
-import gatelock.relay.Outlet;
-import gatelock.relay.Verdict;
 import gatelock.standin.LongList;
 import gatelock.wire.Discovery;
 import gatelock.wire.Json;
 import gatelock.wire.Lines;
 import gatelock.wire.Turn;
+import gatelock.standin.QuietOutlet;
 
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -122,7 +121,7 @@
     }
 
     /** No req is taken, and no timer runs: what is measured is the list alone. */
-    private static final class Quiet implements Outlet {
+    private static final class Quiet implements QuietOutlet {
         @Override
         public void send(String id, String unit, long timeoutUs) {
             throw new IllegalStateException("no req was taken");
@@ -142,25 +141,5 @@
         public void cancel(String id, int tryNo) {
             throw new IllegalStateException("no req was taken");
         }
-
-        @Override
-        public void vote(int build, int stage, Verdict verdict) {
-            // no desk
-        }
-
-        @Override
-        public void timer(long inUs, long token) {
-            // no beat: it is measured by itself
-        }
-
-        @Override
-        public void followList() {
-            // the list is followed unasked
-        }
-
-        @Override
-        public void say(String line) {
-            // no operator
-        }
     }
 }
--- a/src/test/java/gatelock/capacity/ModulePlay.java
+++ b/src/test/java/gatelock/capacity/ModulePlay.java
@@ -11,9 +11,9 @@
 import gatelock.relay.Outlet;
 import gatelock.relay.Rollout;
 import gatelock.relay.Route;
-import gatelock.relay.Verdict;
 import gatelock.standin.LongList;
 import gatelock.standin.Reach;
+import gatelock.standin.QuietOutlet;
 
 import java.lang.management.ManagementFactory;
 import java.lang.management.ThreadMXBean;
@@ -25,7 +25,7 @@
 import java.util.SplittableRandom;
 
 /** The module alone, with so many units: reqs that all complete after 5 ms, 860 a second of its own time. */
-final class ModulePlay implements Outlet {
+final class ModulePlay implements QuietOutlet {
     static final int UNITS_OF_A_SERVICE = 28;
     private static final long REQ_EVERY_US = 1_163;
     private static final int BATCH = 16;
@@ -135,39 +135,9 @@
         sent++;
     }
 
-    @Override
-    public void shed(String id, long pauseUs) {
-        // counted as not sent
-    }
-
-    @Override
-    public void error(String id) {
-        // counted as not sent
-    }
-
-    @Override
-    public void cancel(String id, int tryNo) {
-        // nothing is out for long
-    }
-
-    @Override
-    public void vote(int build, int stage, Verdict verdict) {
-        // no desk
-    }
-
     /** The first timer is the beat's; a req's is due only after its end, when it does nothing. */
     @Override
     public void timer(long inUs, long token) {
         beatToken = beatToken < 0 ? token : beatToken;
     }
-
-    @Override
-    public void followList() {
-        // the list is told once
-    }
-
-    @Override
-    public void say(String line) {
-        // no operator
-    }
 }
--- /dev/null
+++ b/src/test/java/gatelock/standin/QuietOutlet.java
@@ -0,0 +1,39 @@
+package gatelock.standin;
+
+import gatelock.relay.Outlet;
+import gatelock.relay.Verdict;
+
+/** A way out on which nothing is done; whoever looks at some of its calls says which. */
+public interface QuietOutlet extends Outlet {
+    @Override
+    default void send(String id, String unit, long timeoutUs) {
+    }
+
+    @Override
+    default void shed(String id, long pauseUs) {
+    }
+
+    @Override
+    default void error(String id) {
+    }
+
+    @Override
+    default void cancel(String id, int tryNo) {
+    }
+
+    @Override
+    default void vote(int build, int stage, Verdict verdict) {
+    }
+
+    @Override
+    default void timer(long inUs, long token) {
+    }
+
+    @Override
+    default void followList() {
+    }
+
+    @Override
+    default void say(String line) {
+    }
+}
