Membership: a scope holds more of large services and in small fleets

leastHolders (110 if absent) over the number of relays is the part of a service's ready units that is aimed at where that is more than perService. 110 is where 1 + 3.5 / sqrt(holders), as measured, is the 4/3 that a relay's three quarters of a cold unit's multiple leave: so rule 4 holds by arithmetic for services of 1,000 units too, where it did not.

Found on the way by the properties' courses (1 in 5,000 at the bound): a service that is all silent and gone through, of which a unit then gave way to another service, never asked it again (Scope.takeUp). The test of it hangs no time; it fails without the mend.

--- a/src/main/java/gatelock/boot/Operator.java
+++ b/src/main/java/gatelock/boot/Operator.java
@@ -122,6 +122,8 @@
             wrong(findings, "O-SCOPE-ZONE", "zone", zone + " is no zone of this deployment", "name one of " + zones
                 + ", or leave it out where this relay stands in none");
         }
+        int holders = node.path("leastHolders").asInt(Scope.LEAST_HOLDERS);
+        double part = Math.min(1, holders / (double) told.charter().relays());
         // The seed is this relay's own as well, where nobody numbers the relays.
         long numbered = node.path("number").asLong(told.charter().number());
         long number = numbered < 0 ? told.charter().seed() : numbered;
@@ -130,7 +132,7 @@
             : service.has("separator") ? ServiceName.before(service.get("separator").asText())
             : ServiceName.ONE;
         return new Membership(new Scope.Terms(number, zone == null ? -1 : zones.indexOf(zone), most, perService,
-            elsewhere, (long) (node.path("settleS").asDouble(SETTLE_S) * 1e6)), name,
+            part, elsewhere, (long) (node.path("settleS").asDouble(SETTLE_S) * 1e6)), name,
             node.path("mostListBytes").asLong(MOST_LIST_BYTES), node.toString());
     }
 
--- a/src/main/java/gatelock/membership/Scope.java
+++ b/src/main/java/gatelock/membership/Scope.java
@@ -27,6 +27,12 @@
      * away would else take all room from others that need to grow.
      */
     private static final int MOST_GROWN = 8;
+    /**
+     * Of each unit, so many relays at least on the mean. Each relay aims at its part of what a cold unit bears, and
+     * leaves a quarter of it free (rule 4); the unit with the most holders has 1 + 3.5 / sqrt(mean) times the mean
+     * (docs/measurements/membership.md), which is 4/3 at so many. With fewer than one a unit is not used at all.
+     */
+    public static final int LEAST_HOLDERS = 110;
     private static final long NEVER = Long.MAX_VALUE;
 
     /**
@@ -35,20 +41,27 @@
      * @param relay its own number, or one drawn from its seed where the settings tell none
      * @param zone its own, -1 for unknown: then all units count as in its own
      * @param most units in scope over all services
-     * @param perService units aimed at for each service
+     * @param perService units aimed at for each service at least
+     * @param part of a service's ready units that is aimed at, where that is more: from 0 to 1
      * @param leastElsewhere of these in other zones, where there are any
      * @param settleUs for how long a unit must not be needed before it leaves
      */
-    public record Terms(long relay, int zone, int most, int perService, int leastElsewhere, long settleUs) {
+    public record Terms(long relay, int zone, int most, int perService, double part, int leastElsewhere,
+                        long settleUs) {
 
         /** Throws where a bound makes no sense. */
         public Terms {
-            if (most < 1 || perService < 1 || leastElsewhere < 0 || settleUs < 0) {
-                throw new IllegalArgumentException("expected at least one unit in scope and a service, none or"
-                    + " more elsewhere and no negative time, got " + most + ", " + perService + ", "
-                    + leastElsewhere + ", " + settleUs);
+            if (most < 1 || perService < 1 || !(part >= 0 && part <= 1) || leastElsewhere < 0 || settleUs < 0) {
+                throw new IllegalArgumentException("expected at least one unit in scope and a service, a part from"
+                    + " 0 to 1, none or more elsewhere and no negative time, got " + most + ", " + perService + ", "
+                    + part + ", " + leastElsewhere + ", " + settleUs);
             }
         }
+
+        /** Units aimed at of a service with so many ready ones, where the bound leaves room. */
+        public int aim(int ready) {
+            return Math.min(most, Math.max(perService, (int) Math.ceil(part * ready)));
+        }
     }
 
     /** What to tell the decisions: all there is, or units that came into scope, changed in it or left it. */
@@ -68,7 +81,7 @@
     /** How many services need so many units. */
     private final int[] needs;
     /** Units each service may have at most; 0: there are more services than units allowed. */
-    private int level;
+    private int level = Integer.MAX_VALUE;
     private long risesUs = NEVER;
     /** Services without a place, where there are more of them than units allowed. */
     private final TreeSet<Service> waiting = new TreeSet<>();
@@ -169,8 +182,7 @@
         this.terms = terms;
         this.ranking = ranking;
         store = new Store(ranking);
-        needs = new int[terms.perService() + 1];
-        level = terms.perService();
+        needs = new int[terms.most() + 1];
     }
 
     // What is told
@@ -368,9 +380,9 @@
         return waiting.size();
     }
 
-    /** Units of a service aimed at now: less than the terms say where {@code most} does not suffice. */
+    /** Units aimed at for any service: less than the terms say where {@code most} does not suffice. */
     public int aim() {
-        return level;
+        return Math.min(level, terms.aim(0));
     }
 
     /** When a list or a change was last taken, 0 for never. */
@@ -395,7 +407,7 @@
     }
 
     private int aim(Service s) {
-        return level > 0 ? level : s.admitted ? 1 : 0;
+        return level > 0 ? Math.min(level, terms.aim(store.ready(s.name))) : s.admitted ? 1 : 0;
     }
 
     private int wanted(Service s) {
@@ -471,7 +483,7 @@
      */
     private void share(long nowUs) {
         for (Service s : List.copyOf(dirty)) {
-            int ready = Math.min(terms.perService(), store.ready(s.name));
+            int ready = Math.min(store.ready(s.name), terms.aim(store.ready(s.name)));
             needs[s.need] -= s.need > 0 ? 1 : 0;
             needs[ready] += ready > 0 ? 1 : 0;
             s.anew |= s.need != ready;
@@ -517,7 +529,7 @@
         }
     }
 
-    /** How many units each service may have so that all together stay within the bound. */
+    /** How many units each service may have so that all together stay within the bound, if there is one. */
     private int possible() {
         int least = 0;
         int full = 0;
@@ -525,7 +537,7 @@
         for (int n : needs) {
             needing += n;
         }
-        while (least < terms.perService()) {
+        while (needing > 0) {
             full += needing;
             if (full > terms.most()) {
                 return least;
@@ -533,7 +545,7 @@
             least++;
             needing -= needs[least];
         }
-        return least;
+        return Integer.MAX_VALUE;
     }
 
     // Which ones
@@ -694,6 +706,10 @@
                 gives.service.doubted = true;
                 dirty.add(gives.service);
             }
+            if (gives.service.units.stream().noneMatch(Held::usable)) {
+                // All of it may have been silent, and gone through to the end: what gave way may answer again.
+                touched(gives.service);
+            }
         }
         Entry e = store.entry(c.place);
         Held h = new Held(s, e, c.rank);
--- a/src/test/java/gatelock/fleet/Records.java
+++ b/src/test/java/gatelock/fleet/Records.java
@@ -335,6 +335,10 @@
         }
     }
 
+    long refused() {
+        return answers.stream().filter(a -> !a.completed()).count();
+    }
+
     /** The most calls that came to the desk within a second. */
     int mostCallsInASecond() {
         int most = 0;
--- a/src/test/java/gatelock/fleet/ScaleTest.java
+++ b/src/test/java/gatelock/fleet/ScaleTest.java
@@ -20,6 +20,8 @@
         Fleet.Terms terms = SMALLEST.terms(0, 36);
         terms.fault = fault;
         terms.scoped = scoped;
+        // So few relays would use all units.
+        terms.leastHolders = 0;
         return play.play(SMALLEST, terms, new Meter(false));
     }
 
@@ -37,6 +39,18 @@
         assertThat(result.fleet().records.held).isNotEmpty();
     }
 
+    /** Of few relays each has to use more units than its least, or units stand idle beside full ones. */
+    @ParameterizedTest
+    @EnumSource(Play.class)
+    void fewRelaysRefuseNoMoreWithAScopeThanWithoutOne(Play play) {
+        Fleet.Terms terms = SMALLEST.terms(0, 36);
+        terms.scoped = true;
+        Play.Result with = play.play(SMALLEST, terms, new Meter(false));
+        keepsAll(with);
+        Records without = play(play, Fleet.Fault.NONE).fleet().records;
+        assertThat(with.fleet().records.refused()).isLessThan(without.refused() * 6 / 5 + 20);
+    }
+
     private static void keepsAll(Play.Result result) {
         assertThat(result.broken()).isEmpty();
         Records records = result.fleet().records;
