Membership: a service that is all silent asks units again that it let go

Seen: the properties' courses failed once in 5,000 to 10,000 (trial, courses 1312 and 18218 at a bound of 8 and 5): a service whose units in scope were all silent kept to one of them for good, while another one answered out of scope. Trace of 1312, state by state: all of its units were taken up, silent, and gone through (Service.through); one was let go when its settle time was over, and nothing marked the service to be looked at again, as the one that stayed was silent before and after.

--- a/src/main/java/gatelock/membership/Scope.java
+++ b/src/main/java/gatelock/membership/Scope.java
@@ -706,10 +706,6 @@
                 gives.service.doubted = true;
                 dirty.add(gives.service);
             }
-            if (gives.service.units.stream().noneMatch(Held::usable)) {
-                // All of it may have been silent, and gone through to the end: what gave way may answer again.
-                touched(gives.service);
-            }
         }
         Entry e = store.entry(c.place);
         Held h = new Held(s, e, c.rank);
@@ -728,6 +724,10 @@
     private void leave(Held h, Entry last) {
         drop(h);
         told.put(last.name(), last);
+        if (h.service.units.stream().noneMatch(Held::usable)) {
+            // All that were in scope were silent, and gone through to the end: this one may answer again.
+            touched(h.service);
+        }
     }
 
     private void drop(Held h) {
--- a/src/test/java/gatelock/membership/ScopeTest.java
+++ b/src/test/java/gatelock/membership/ScopeTest.java
@@ -388,6 +388,28 @@
         assertThat(relay.ready("b")).anyMatch(u -> !silent.contains(u));
     }
 
+    /** As the units of a are all silent, one is let go when its time is over; it answers again out of scope. */
+    @Test
+    void aServiceThatIsAllSilentComesBackToAUnitThatItLetGo() {
+        Told relay = new Told(new Scope(Told.terms(7, 0, 8, 1, 0, SETTLE_US)));
+        relay.whole(service("a", 2, 1));
+        Set<String> silent = new TreeSet<>(Set.of("a-0", "a-1"));
+        for (int look = 0; look < 8; look++) {
+            relay.ready().forEach(u -> relay.ended(u, false));
+            relay.due(LOOK_US);
+        }
+        relay.due(SETTLE_US);
+        relay.due(SETTLE_US);
+        Set<String> left = new TreeSet<>(silent);
+        left.removeAll(relay.ready("a"));
+        silent.removeAll(left.isEmpty() ? Set.of("a-1") : left);
+        for (int look = 0; look < 60; look++) {
+            relay.ready().forEach(u -> relay.ended(u, !silent.contains(u)));
+            relay.due(LOOK_US);
+        }
+        assertThat(relay.ready("a")).anyMatch(u -> !silent.contains(u));
+    }
+
     @Test
     void termsWithoutSenseAreRefused() {
         for (double part : new double[] {-0.1, 1.1, Double.NaN}) {
