Module: room of a cap, standing connections and figures by kind are types of their own

Allowance (rule 5's saved-up room), Standing (connections that stand without a req), ByKind (a fading figure by machine kind), Finding and Slice.worst of a share hold arithmetic only; what they are given is the module's.

--- a/src/main/java/gatelock/decision/Fading.java
+++ b/src/main/java/gatelock/decision/Fading.java
@@ -1,5 +1,7 @@
 package gatelock.decision;
 
+import java.util.Arrays;
+
 /** A sum and a count that fade: what was added a memory ago counts 1/e. */
 final class Fading {
     private final double memoryUs;
@@ -11,6 +13,13 @@
         this.memoryUs = memoryUs;
     }
 
+    /** So many of one memory. */
+    static Fading[] of(int count, double memoryUs) {
+        Fading[] all = new Fading[count];
+        Arrays.setAll(all, i -> new Fading(memoryUs));
+        return all;
+    }
+
     private void fade(long nowUs) {
         double left = nowUs > atUs ? Math.exp((atUs - nowUs) / memoryUs) : 1;
         sum *= left;
--- a/src/main/java/gatelock/decision/LikeLoad.java
+++ b/src/main/java/gatelock/decision/LikeLoad.java
@@ -34,8 +34,8 @@
 
     /**
      * Rows {slowness against the usual under like load, slice}, highest first, of units older than so long.
-     * Where the earlier build never had as many in flight there is none: a trial unit that the cap fills fuller
-     * proves nothing by that.
+     * Where the earlier build never had as many in flight there is none: a trial unit that the cap fills
+     * fuller proves nothing by that.
      */
     double[][] against(List<Slice> slices, long warmUs) {
         List<double[]> rows = new ArrayList<>();
--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -123,10 +123,8 @@
     private final Fading taken = new Fading(WORK_MEMORY_US);
     private double takenBefore;
     private long startUs;
-    private final TreeMap<Integer, Fading> slowByKind = new TreeMap<>();
     private final Silence zones = new Silence(ZONE_MEMORY_US);
-    private Set<Integer> lostZones = Set.of();
-    private final Fading slowOfAll = new Fading(SPEED_MEMORY_US);
+    private final ByKind slowByKind = new ByKind(SPEED_MEMORY_US);
     private int places = 1;
     private int inFlight;
     private final int[] routeInFlight;
@@ -175,11 +173,10 @@
         this.charter = charter;
         this.out = out;
         this.chance = new SplittableRandom(charter.seed());
-        this.cost = new Fading[charter.routes().size() + 1];
-        this.tenantRate = new Fading[charter.tenants().size()];
+        this.cost = Fading.of(charter.routes().size() + 1, 20.0 * SECOND);
+        this.tenantRate = Fading.of(charter.tenants().size(), RATE_MEMORY_US);
         this.routeInFlight = new int[charter.routes().size()];
-        this.routeSlow = new Fading[charter.routes().size()];
-        Arrays.setAll(routeSlow, i -> new Fading(WORK_MEMORY_US));
+        this.routeSlow = Fading.of(charter.routes().size(), WORK_MEMORY_US);
         this.topValue = charter.routes().stream().mapToDouble(Route::value).max().orElse(1);
         this.logLevel = Bootstrap.logLevel(FALSE_BACKS, charter.relays(),
             Math.max(1, charter.rollout().backVotes()));
@@ -187,8 +184,6 @@
         this.many = charter.relays() > FEW_RELAYS;
         this.unitMemoryUs = SPEED_MEMORY_US * Math.min(LONGEST, Math.max(1, charter.relays() / FEW_RELAYS));
         this.number = charter.number() >= 0 ? charter.number() : chance.nextInt(charter.relays());
-        Arrays.setAll(cost, i -> new Fading(20.0 * SECOND));
-        Arrays.setAll(tenantRate, i -> new Fading(RATE_MEMORY_US));
     }
 
     /** Guards against this relay having stood still: what then waits came late through no unit's fault. */
@@ -217,7 +212,7 @@
                        Bounds bounds) {
         clock(nowUs);
         Rq rq = new Rq(id, route, tenant, key, nowUs + leftUs, costUs, bounds);
-        builds.values().forEach(b -> b.earn(route));
+        builds.values().forEach(b -> b.room.earn(route, b.capNow()));
         retryTokens = Math.min(RETRY_BURST, retryTokens + RETRY_SHARE);
         if (tenant < tenantRate.length) {
             tenantRate[tenant].add(nowUs, 1);
@@ -235,16 +230,16 @@
         clock(nowUs);
         Unit u = units.get(unit);
         if (first) {
-            builds.values().forEach(b -> b.earn(route));
+            builds.values().forEach(b -> b.room.earn(route, b.capNow()));
         }
         if (u == null || !u.mayGetNew()) {
             return Passing.NEVER;
         }
         boolean trial = u.build.onTrial();
-        if (trial && u.build.room[u.build.slot(route)] < 1) {
+        if (trial && !u.build.room.has(route)) {
             return Passing.LATER;
         }
-        u.build.room[u.build.slot(route)] -= trial ? 1 : 0;
+        u.build.room.take(route, trial ? 1 : 0);
         return Passing.NOW;
     }
 
@@ -269,7 +264,7 @@
                 // A restarted or re-used id is a new unit: nothing of its past holds.
                 if (!builds.containsKey(l.build())) {
                     builds.values().stream().flatMap(b -> Stream.of(b.own, b.counts)).forEach(Ledger::keep);
-                    takenBefore = takenWork();
+                    takenBefore = work(taken);
                 }
                 u = new Unit(l, builds.computeIfAbsent(l.build(), Build::new));
                 units.put(l.unit(), u);
@@ -345,13 +340,10 @@
                 .findFirst().orElse(0L);
             // They stand as outcomes of one unit a route, each route a kind of its own.
             // The desk tells no try without an answer or a connection from an error; own endings do.
-            List<Outcome> cell = new ArrayList<>(count);
-            for (int i = 0; i < count; i++) {
-                if (i >= failed || chance.nextDouble() < heard.mean(nowUs, 1)) {
-                    cell.add(new Outcome(route, DESK - route, i < failed, false, meanUs, 0, age));
-                }
-            }
-            b.counts.add(new Slice(endUs / SLICE_US, cell));
+            b.counts.add(new Slice(endUs / SLICE_US, IntStream.range(0, count)
+                .filter(i -> i >= failed || chance.nextDouble() < heard.mean(nowUs, 1))
+                .mapToObj(i -> new Outcome(route, DESK - route, i < failed, false, meanUs, 0, age))
+                .toList()));
         }
     }
 
@@ -364,11 +356,11 @@
         } else if (token == BEAT) {
             out.timer(BEAT_US, BEAT);
             List.copyOf(triesOut).forEach(t -> t.unit.lookForOverdue(t));
-            List<Unit> ready = builds.values().stream().flatMap(b -> b.ready.stream()).toList();
             // Guards against a zone cut off or gone before the list says so: all its units would be tried.
             // Could harm where its sick units had the few tries: a tenth still goes there.
-            lostZones = zones.silent(nowUs, FEWEST_OF_ZONE, MOST, SICK_ERRORS);
-            List<Unit> there = ready.stream().filter(u -> !lostZones.contains(u.at.zone())).toList();
+            zones.look(nowUs, FEWEST_OF_ZONE, MOST, SICK_ERRORS);
+            List<Unit> there = builds.values().stream().flatMap(b -> b.ready.stream())
+                .filter(u -> !zones.lost().contains(u.at.zone())).toList();
             someBad = there.stream().filter(Unit::looksBad).count() <= MOST * there.size();
             weigh();
         } else if (token == ASK_LIST) {
@@ -424,7 +416,7 @@
                 turnAway();
                 return;
             }
-            unit.build.room[unit.build.slot(routeNo)] -= unit.build.onTrial() ? 1 : 0;
+            unit.build.room.take(routeNo, unit.build.onTrial() ? 1 : 0);
             Try t = new Try(unit);
             tries.add(t);
             triesOut.add(t);
@@ -561,14 +553,14 @@
         private final List<Unit> ready = new ArrayList<>();
         private final Ledger own = new Ledger(EARLIER_SLICES, MOST_HELD, chance);
         private final Ledger counts = new Ledger(EARLIER_SLICES * charter.routes().size(), 0, chance);
-        private final double[] room;
+        private final Allowance room; // rule 5, by what the cap has earned
         private final Fading slowness = new Fading(SPEED_MEMORY_US);
         private final Fading ahead = new Fading(RATE_MEMORY_US);
 
         Build(int number) {
             this.number = number;
-            room = new double[charter.rollout().perRoute() ? charter.routes().size() : 1];
-            Arrays.fill(room, charter.rollout().free());
+            int slots = charter.rollout().perRoute() ? charter.routes().size() : 1;
+            room = new Allowance(slots, charter.rollout().free());
         }
 
         private boolean onTrial() {
@@ -580,18 +572,9 @@
             return number == newest ? cap : caps.length == 0 ? 0 : caps[0];
         }
 
-        /** Rule 5, for any window: room never exceeds 'free', so none opens after the reqs that earned it. */
-        private void earn(int route) {
-            room[slot(route)] = Math.min(charter.rollout().free(), room[slot(route)] + capNow());
-        }
-
-        private int slot(int route) {
-            return Math.min(route, room.length - 1);
-        }
-
         private boolean mayTake(Rq rq) {
             boolean guarded = (number == newest ? stage : 0) < charter.rollout().guardedStages();
-            return isOpen() && keyAllows(rq) && (!onTrial() || room[slot(rq.routeNo)] >= 1
+            return isOpen() && keyAllows(rq) && (!onTrial() || room.has(rq.routeNo)
                 && (!guarded || rq.route.repeat() == Route.Repeat.RETRIABLE));
         }
 
@@ -652,9 +635,7 @@
         private long lastAnswerUs = Long.MIN_VALUE / 2;
         private double waiting;
         private long waitingAtUs = Long.MIN_VALUE / 2;
-        /** Connections that stand without a req, and when the last of them was left so. */
-        private int idle;
-        private long idleAtUs = Long.MIN_VALUE / 2;
+        private final Standing lines = new Standing();
 
         Unit(Listed l, Build build) {
             this.at = l;
@@ -665,15 +646,14 @@
             ahead.add(nowUs, out.size());
             build.ahead.add(nowUs, out.size());
             out.add(t);
-            idle = lineStands() ? idle - 1 : 0;
+            lines.use(nowUs, charter.keptUs());
             budget -= t.rq.costUs * Math.max(1, build.slowness.mean(nowUs, 0) / usualSlowness(at.kind()));
         }
 
         private void ended(Rq.Try t, Ending ending, long tookUs, Load load) {
             out.remove(t);
             if (ending == Ending.COMPLETED || ending == Ending.ERRORED || ending == Ending.TURNED_AWAY) {
-                idle = (lineStands() ? idle : 0) + 1;
-                idleAtUs = nowUs;
+                lines.leave(nowUs, charter.keptUs());
             }
             if (ending == Ending.NOT_SENT || ending == Ending.CANCELLED && !t.cancelled) {
                 return;
@@ -700,8 +680,7 @@
                     build.slowness.add(nowUs, slow);
                 }
                 if (tells && !build.onTrial()) {
-                    slowOfAll.add(nowUs, slow);
-                    slowByKind.computeIfAbsent(at.kind(), k -> new Fading(SPEED_MEMORY_US)).add(nowUs, slow);
+                    slowByKind.add(nowUs, at.kind(), slow);
                 }
                 for (int i : new int[] {t.rq.routeNo, cost.length - 1}) {
                     cost[i].add(nowUs, t.rq.hinted ? t.rq.costUs : tookUs);
@@ -762,7 +741,7 @@
         /** Guards against a unit that fails much or leaves tries overdue, whatever the cause. */
         private boolean looksBad() {
             double bad = failures.count(nowUs);
-            return lostZones.contains(at.zone()) && !cold()
+            return zones.lost().contains(at.zone()) && !cold()
                 || bad / (bad + slowness.count(nowUs) + 1) > SICK_ERRORS;
         }
 
@@ -820,7 +799,7 @@
 
         /** Whether a connection to it surely stands without a req. */
         private boolean lineStands() {
-            return idle > 0 && nowUs - idleAtUs < charter.keptUs();
+            return lines.stands(nowUs, charter.keptUs());
         }
     }
 
@@ -871,13 +850,12 @@
 
     /** Time per announced work at the units not on trial: of one kind (-1: all), drawn to that of all. */
     private double usualSlowness(int kind) {
-        double all = slowOfAll.mean(nowUs, 1.5);
-        Fading own = slowByKind.get(kind);
-        return own == null ? all : own.drawn(nowUs, all, 1);
+        return slowByKind.mean(nowUs, kind, 1.5);
     }
 
-    private double takenWork() {
-        return taken.sum(nowUs) / (1 - Math.exp((startUs - nowUs - 1) / WORK_MEMORY_US));
+    /** Of late, as if it had come for long. */
+    private double work(Fading sum) {
+        return sum.sum(nowUs) / (1 - Math.exp((startUs - nowUs - 1) / WORK_MEMORY_US));
     }
 
     private double meanCost() {
@@ -886,8 +864,6 @@
 
     // ---- The vote -----------------------------------------------------------------------------------------
 
-    private enum Finding { NO_VERDICT, PASS, CLOSE, SUSPECT, SLOW, ERRORS }
-
     /** The ordinary path of a vote: what the outcomes say, what the stage's time allows, what to say. */
     private void weigh() {
         Build trial = builds.get(newest);
@@ -895,12 +871,12 @@
             return;
         }
         Finding finding = find(trial, earlierThan(newest));
-        boolean fails = finding == Finding.ERRORS || finding == Finding.SLOW;
         long sinceUs = Math.min(BEAT_US, nowUs - weighedUs);
-        failedUs = finding == Finding.PASS ? 0 : Math.max(0, failedUs + (fails ? sinceUs : -sinceUs));
+        long lastedUs = failedUs + (finding.fails() ? sinceUs : -sinceUs);
+        failedUs = finding == Finding.PASS ? 0 : Math.max(0, lastedUs);
         weighedUs = nowUs;
         long confirmUs = finding == Finding.ERRORS || many ? CONFIRM_ERRORS_US : CONFIRM_SLOW_US;
-        boolean sure = fails && failedUs >= confirmUs;
+        boolean sure = finding.fails() && failedUs >= confirmUs;
         if (phase == Phase.RELEASED) {
             // Released: nothing shows like load any more; errors count, or many voices.
             boolean bad = sure && (finding == Finding.ERRORS || many) && nowUs - stageFromUs < WATCH_US;
@@ -909,7 +885,7 @@
         }
         leastUs = clockFromUs(trial) + charter.rollout().leastUs();
         Verdict verdict;
-        if (fails) {
+        if (finding.fails()) {
             verdict = sure ? Verdict.BACK : Verdict.HOLD;
         } else if (finding == Finding.PASS) {
             verdict = nowUs < leastUs ? Verdict.NONE : Verdict.ON;
@@ -1004,7 +980,7 @@
         }
         Finding found = compare(trial, trial.own, earlier.own, earlier.own.all(), MARGIN, FLEET_MARGIN,
             stretch);
-        if (found == Finding.SLOW || found == Finding.ERRORS || !few(trial)) {
+        if (found.fails() || !few(trial)) {
             return found;
         }
         // Set against the last that the earlier build had, as a trouble of both may have begun only then.
@@ -1018,21 +994,19 @@
         List<Slice> mine = its.from(weighedFrom());
         Finding found = compare(mine, theirs, margin, stretch, FEWEST);
         boolean slow = found == Finding.SLOW;
-        boolean fails = slow || found == Finding.ERRORS;
         String said = ground;
-        if (!fails && its == trial.own && many) {
+        if (!found.fails() && its == trial.own && many) {
             Finding asOne = oneOfMany(mine, theirs, earlier.from(weighedFrom()));
             if (asOne != Finding.NO_VERDICT) {
                 return asOne;
             }
             ground = said;
         }
-        if (fails && its == trial.own) {
+        if (found.fails() && its == trial.own) {
             // Guards against sick, slow or ill-placed units taken for a bad build: without its worst units
             // the build must fail all the same. Errors of its oldest units count alone: builds may turn bad
             // with age. Could harm where a build is bad on one kind of machine only.
-            List<Object> all = Slice.worst(mine, Outcome::error);
-            List<Object> odd = all.subList(0, Math.max(1, (int) (all.size() * SICK_PART)));
+            List<Object> odd = Slice.worst(mine, Outcome::error, SICK_PART);
             long asOldUs = SECOND + trial.ready.stream().filter(odd::contains)
                 .mapToLong(u -> u.at.startUs()).max().orElse(0);
             boolean alone = !slow && trial.ready.stream().filter(u -> !odd.contains(u))
@@ -1046,7 +1020,7 @@
         // are set against what the earlier build needed before the trial, without the worse half of them, as
         // other troubles spare some; with many relays, whose like load is a guess, only if no more work comes
         // than then. Could harm when something else slows the whole fleet during a trial.
-        if (fails || many && takenWork() > MORE_WORK * takenBefore) {
+        if (found.fails() || many && work(taken) > MORE_WORK * takenBefore) {
             return found;
         }
         List<Slice> all = new ArrayList<>(mine);
--- a/src/main/java/gatelock/decision/Silence.java
+++ b/src/main/java/gatelock/decision/Silence.java
@@ -20,16 +20,20 @@
     }
 
     /**
-     * Places with so many late tries of which more than {@code most} had no answer, if less than {@code less}
-     * had none at another place. One that was silent stays so until answers come from it or it was not tried
-     * for long.
+     * Looks for places with so many late tries of which more than {@code most} had no answer, if less than
+     * {@code less} had none at another place. One that was silent stays so until answers come from it or it
+     * was not tried for long.
      */
-    Set<Integer> silent(long nowUs, double fewest, double most, double less) {
+    void look(long nowUs, double fewest, double most, double less) {
         boolean another = places.values().stream().anyMatch(f -> f.mean(nowUs, 1) < less);
         Set<Integer> before = silent;
         silent = places.entrySet().stream().filter(p -> another && p.getValue().mean(nowUs, 0) > most
             && (before.contains(p.getKey()) || p.getValue().count(nowUs) >= fewest)).map(Map.Entry::getKey)
             .collect(Collectors.toSet());
+    }
+
+    /** As found by the last look. */
+    Set<Integer> lost() {
         return silent;
     }
 }
--- a/src/main/java/gatelock/decision/Slice.java
+++ b/src/main/java/gatelock/decision/Slice.java
@@ -38,9 +38,8 @@
         List<Slice> kept = new ArrayList<>();
         for (int half = 0; half < 2; half++) {
             int number = half;
-            List<Object> worst = worst(slices.stream().filter(s -> s.number % 2 == number).toList(), figure);
             kept.addAll(without(slices.stream().filter(s -> s.number % 2 != number).toList(),
-                worst.subList(0, Math.min(worst.size(), Math.max(1, (int) (worst.size() * share))))));
+                worst(slices.stream().filter(s -> s.number % 2 == number).toList(), figure, share)));
         }
         return kept;
     }
@@ -51,6 +50,12 @@
             s.outcomes.stream().filter(Outcome::failed).count()}).toArray(long[][]::new);
     }
 
+    /** A share of the units with outcomes, one at least: those with the highest mean of a figure. */
+    static List<Object> worst(List<Slice> slices, ToDoubleFunction<Outcome> figure, double share) {
+        List<Object> all = worst(slices, figure);
+        return all.subList(0, Math.min(all.size(), Math.max(1, (int) (all.size() * share))));
+    }
+
     /** The units with outcomes, those first whose outcomes have the highest mean of a figure. */
     static List<Object> worst(List<Slice> slices, ToDoubleFunction<Outcome> figure) {
         Map<Object, double[]> sums = new LinkedHashMap<>();
