Module: a build on trial has room though tries jam at the earlier one

Rq.place let the trial have a first send only where all tries in flight left room (`first && room ? choose(true)`), against the design's "first sends fill the cap".

The bound on all tries holds for units not on trial; those on trial have bounds of their own (departures 2 and 20).

--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -404,10 +404,12 @@
         private void place() {
             boolean first = tries.isEmpty();
             double most = claim() * mostInFlight(route);
-            boolean room = inFlight + chance.nextDouble() < most && (!hopeless(routeNo)
-                || routeInFlight[routeNo] + chance.nextDouble() < most * HOPELESS_PART);
-            // 1. First sends fill the cap of the build on trial.
-            Unit unit = first && room ? choose(true) : null;
+            boolean full = hopeless(routeNo)
+                && routeInFlight[routeNo] + chance.nextDouble() >= most * HOPELESS_PART;
+            boolean room = !full && inFlight + chance.nextDouble() < most;
+            // 1. First sends fill the cap of the build on trial. Its units have bounds of their own: what
+            // those of another build hold on to takes no room from them.
+            Unit unit = first && !full ? choose(true) : null;
             // 2. The rest goes to the released build, and what it has no room for to those before it.
             unit = unit != null || !room ? unit : choose(false);
             // 3. A further try goes to the trial only if nowhere else: first sends have the cap.
