--- a/Makefile
+++ b/Makefile
@@ -66,10 +66,12 @@
 		-cp "target/classes:target/test-classes:$$(cat target/test.classpath)" gatelock.membership.ScopeMeasure fit
 
 # One relay with the platform's flags before a list of 200,000 units, with and without a scope; the tables of
-# docs/measurements/membership-relay.md. ROWS="2 write COMMIT" plays one row, or notes the rows it played.
+# docs/measurements/membership-relay.md. ROWS="2 write COMMIT" plays one row, or notes the rows it played;
+# DEPLOY names the file whose run line has the flags.
+DEPLOY ?= deploy/balancer.toml
 measure-list:
 	mvn -B -q -DskipTests package dependency:build-classpath -Dmdep.outputFile=target/test.classpath
-	java -cp "target/classes:target/test-classes:$$(cat target/test.classpath)" gatelock.standin.ListMeasure $(ROWS)
+	java -Ddeploy=$(DEPLOY) -cp "target/classes:target/test-classes:$$(cat target/test.classpath)" gatelock.standin.ListMeasure $(ROWS)
 
 # The tables and the chart of docs/CAPACITY.md, from the files in docs/capacity/.
 capacity:
--- a/src/test/java/gatelock/ScopeTest.java
+++ b/src/test/java/gatelock/ScopeTest.java
@@ -49,7 +49,7 @@
 
     private void start(String more) throws Exception {
         Path operator = directory.resolve("operator.json");
-        Files.writeString(operator, "{\"membership\": {\"most\": " + MOST + ", \"perService\": " + IN_SCOPE
+        Files.writeString(operator, "{\"membership\": {\"most\": " + MOST + ", \"leastHolders\": 0, \"perService\": " + IN_SCOPE
             + ", \"leastElsewhere\": 0, \"settleS\": 0.2, \"number\": " + NUMBER + mostListBytes + "}" + more + "}");
         all.startUnlisted("--operator", operator.toString());
     }
--- a/src/test/java/gatelock/boot/CommandsTest.java
+++ b/src/test/java/gatelock/boot/CommandsTest.java
@@ -111,6 +111,7 @@
         Operator read = Operator.read(Path.of("deploy/operator.json"), deployment());
         assertThat(read.control()).isNotNull();
         assertThat(read.membership()).as("off where none is named").isNull();
+        assertThat(Operator.read(Path.of("deploy/scope.json"), deployment()).membership().terms().most()).isEqualTo(1024);
     }
 
     private static Configuration deployment() throws IOException {
--- a/src/test/java/gatelock/standin/ListMeasure.java
+++ b/src/test/java/gatelock/standin/ListMeasure.java
@@ -29,6 +29,8 @@
  * {@code write COMMIT} to note them in docs/capacity/relay-scope.json.
  */
 public final class ListMeasure {
+    /** The file whose run line has the flags; another one by {@code -Ddeploy}. */
+    private static final Path DEPLOY = Path.of(System.getProperty("deploy", "deploy/balancer.toml"));
     private static final int QUIET_S = 15;
     private static final int CHANGES_S = 30;
     private static final int SERVICES = 7_200;
@@ -89,10 +91,10 @@
 
     /** The words of the platform's run line between the program's name and the jar. */
     private static List<String> flags() throws IOException {
-        Matcher run = Pattern.compile("(?m)^run = \"exec java (.*) -jar (\\S+) serve\"$")
-            .matcher(Files.readString(Path.of("deploy/balancer.toml")));
+        Matcher run = Pattern.compile("(?m)^run = \"exec java (.*) -jar (\\S+) serve( --operator \\S+)?\"$")
+            .matcher(Files.readString(DEPLOY));
         if (!run.find()) {
-            throw new IOException("deploy/balancer.toml has no run line of the usual form");
+            throw new IOException(DEPLOY + " has no run line of the usual form");
         }
         return List.of(run.group(1).split(" "));
     }
@@ -158,7 +160,7 @@
                 List<String> more = new ArrayList<>();
                 if (play.membership != null) {
                     Path operator = directory.resolve("operator.json");
-                    Files.writeString(operator, "{\"membership\": {" + play.membership
+                    Files.writeString(operator, "{\"membership\": {\"leastHolders\": 0, " + play.membership
                         + ", \"number\": 17, \"zone\": \"east\", \"service\": {\"label\": \"service\"}}}");
                     more.addAll(List.of("--operator", operator.toString()));
                 }
