--- a/src/main/java/gatelock/decision/ReleaseGate.java
+++ b/src/main/java/gatelock/decision/ReleaseGate.java
@@ -49,8 +49,6 @@
     /** Troubles strike at most this share of the units with errors, and of those with slowness. */
     private static final double SICK_PART = 0.25;
     private static final double SLOW_PART = 0.5;
-    private static final double JAMMED = 1 / 3.0; // of what is taken, refused under a released build
-    private static final double LESS_DONE = 0.75; // of the work completed as it was released: not a burst
     private static final long WATCH_US = 12 * SECOND; // how long a released build is watched
     private static final long CLOCK_LAG_US = SECOND; // a stage's clock after its machines, or its start
     private static final long CLOCK_LATEST_US = 8 * SECOND;
@@ -124,8 +122,6 @@
     private final Fading done = new Fading(WORK_MEMORY_US);
     private final Fading taken = new Fading(WORK_MEMORY_US);
     private double takenBefore;
-    private double doneThen; // work completed as the newest build came to its stage
-    private final Ledger asked; // reqs, and whether they were refused for want of room
     private long startUs;
     private final Silence zones = new Silence(ZONE_MEMORY_US);
     private final ByKind slowByKind = new ByKind(SPEED_MEMORY_US);
@@ -177,7 +173,6 @@
         this.charter = charter;
         this.out = out;
         this.chance = new SplittableRandom(charter.seed());
-        this.asked = new Ledger(EARLIER_SLICES, MOST_HELD, chance);
         this.cost = Fading.of(charter.routes().size() + 1, 20.0 * SECOND);
         this.tenantRate = Fading.of(charter.tenants().size(), RATE_MEMORY_US);
         this.routeInFlight = new int[charter.routes().size()];
@@ -321,7 +316,6 @@
         }
         if (moved) {
             stageFromUs = nowUs - agoUs;
-            doneThen = work(done);
             weigh();
         }
     }
@@ -410,19 +404,14 @@
         private void place() {
             boolean first = tries.isEmpty();
             double most = claim() * mostInFlight(route);
-            boolean full = hopeless(routeNo)
-                && routeInFlight[routeNo] + chance.nextDouble() >= most * HOPELESS_PART;
-            boolean room = !full && inFlight + chance.nextDouble() < most;
-            // 1. First sends fill the cap of the build on trial. Its units have bounds of their own: what
-            // those of another build hold on to takes no room from them.
-            Unit unit = first && !full ? choose(true) : null;
+            boolean room = inFlight + chance.nextDouble() < most && (!hopeless(routeNo)
+                || routeInFlight[routeNo] + chance.nextDouble() < most * HOPELESS_PART);
+            // 1. First sends fill the cap of the build on trial.
+            Unit unit = first && room ? choose(true) : null;
             // 2. The rest goes to the released build, and what it has no room for to those before it.
             unit = unit != null || !room ? unit : choose(false);
             // 3. A further try goes to the trial only if nowhere else: first sends have the cap.
             unit = unit != null || first || !room ? unit : choose(true);
-            if (first) {
-                asked.add(nowUs / SLICE_US, new Outcome(token, DESK, unit == null, false, 0, 0, 0));
-            }
             if (unit == null || nowUs >= endUs) {
                 turnAway();
                 return;
@@ -881,7 +870,7 @@
         if (trial == null || phase == Phase.REVERTING || phase == Phase.WITHDRAWN) {
             return;
         }
-        Finding finding = jammed() ? Finding.SLOW : find(trial, earlierThan(newest));
+        Finding finding = find(trial, earlierThan(newest));
         long sinceUs = Math.min(BEAT_US, nowUs - weighedUs);
         long lastedUs = failedUs + (finding.fails() ? sinceUs : -sinceUs);
         failedUs = finding == Finding.PASS ? 0 : Math.max(0, lastedUs);
@@ -916,19 +905,6 @@
         cast(verdict == (clock ? Verdict.ON : Verdict.HOLD) ? Verdict.NONE : verdict);
     }
 
-    /**
-     * Guards against a released build that jams: this relay then refuses most of what it takes, and few
-     * outcomes, each late, tell of it. What it refuses tells at once, by an exact interval as in
-     * {@link #oneOfMany}; in a burst more is completed than before. Could harm where units lose their speed
-     * otherwise by then.
-     */
-    private boolean jammed() {
-        List<Slice> since = asked.from(Math.max(weighedFrom(), stageFromUs / SLICE_US + 1));
-        return many && phase == Phase.RELEASED && zones.lost().isEmpty() && work(done) < LESS_DONE * doneThen
-            && past(Slice.seen(since), Slice.outcomes(since).filter(Outcome::failed), JAMMED, Finding.SLOW)
-            == Finding.SLOW;
-    }
-
     private Build earlierThan(int number) {
         return builds.headMap(number, false).descendingMap().values().stream()
             .filter(b -> !withdrawn.contains(b.number) && !b.own.isEmpty()).findFirst().orElse(null);
