--- a/review/standin/Stand.java
+++ b/review/standin/Stand.java
@@ -307,6 +307,83 @@
             + "\"countedOverNs\":2000000000,\"guardedStages\":0,\"forwardOnly\":false,\"style\":\"parallel\","
             + "\"pushNs\":6000000000,\"tallyNs\":0,\"tallySample\":0.0,\"foundShare\":0.0,\"warmKeys\":false}}";
 
+    /** The control service: sends its version to a relay that holds an earlier one, or holds the poll. */
+    static final class Control {
+        static final String EPOCH = "1700000000000";
+        final int port;
+        private int number;
+        private String text;
+        private int accepted;
+
+        Control() throws IOException {
+            port = serve("control", this::handle);
+        }
+
+        synchronized void publish(int newNumber, String newText) {
+            number = newNumber;
+            text = newText;
+            note("control service: version " + number + " published");
+            notifyAll();
+        }
+
+        /** Waits until a relay has acknowledged this version. */
+        synchronized boolean awaitAccepted(int wanted, long timeoutMs) {
+            long until = ms() + timeoutMs;
+            try {
+                while (accepted < wanted && ms() < until) {
+                    wait(Math.max(1, until - ms()));
+                }
+            } catch (InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+            return accepted >= wanted;
+        }
+
+        private void handle(Message poll, OutputStream out, Socket socket) throws IOException {
+            int held = field(poll.text(), "version");
+            byte[] answer;
+            synchronized (this) {
+                if (poll.text().contains("\"accepted\":true") && held > accepted) {
+                    accepted = held;
+                    note("control service: version " + held + " acknowledged");
+                    notifyAll();
+                }
+                if (poll.text().contains("\"accepted\":false")) {
+                    note("control service: refused: " + poll.text());
+                }
+                long until = ms() + field(poll.text(), "hold_ms");
+                try {
+                    while (number <= held && ms() < until) {
+                        wait(Math.max(1, until - ms()));
+                    }
+                } catch (InterruptedException e) {
+                    throw new IOException(e);
+                }
+                answer = number <= held
+                        ? "HTTP/1.1 204 x\r\n\r\n".getBytes(StandardCharsets.US_ASCII)
+                        : answer(
+                                200,
+                                "X-Plan-Epoch-Born: " + EPOCH + "\r\nX-Plan-Epoch-Id: a\r\nX-Plan-Version: " + number
+                                        + "\r\nX-Plan-Nonce: n" + number + "\r\n",
+                                text);
+            }
+            out.write(answer);
+        }
+
+        private static int field(String json, String name) {
+            int at = json.indexOf("\"" + name + "\":");
+            if (at < 0) {
+                return 0;
+            }
+            int end = at + name.length() + 3;
+            int from = end;
+            while (end < json.length() && Character.isDigit(json.charAt(end))) {
+                end++;
+            }
+            return Integer.parseInt(json.substring(from, end));
+        }
+    }
+
     /** The relay under test, started by the command of the deploy file. */
     static final class Relay {
         final int port;
