Case 3: requests in upload are never answered when a version renames their pool

The case shows that a request whose head came under one configuration version and whose body is complete under the next is never answered, if its route's pool has another name there: a NullPointerException, after the request was taken. Cases 1 and 2 now also record what the units ran.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+here=$(cd "$(dirname "$0")" && pwd)
+exec "$here/../run-case.sh" "$here" PoolSwapCase
--- a/review/standin/BadCookieCase.java
+++ b/review/standin/BadCookieCase.java
@@ -21,6 +21,7 @@
         StringBuilder list = new StringBuilder();
         for (int i = 0; i < 10; i++) {
             int unit = Stand.serve("unit", (request, out, socket) -> {
+                Stand.note("run " + request.header("X-Trace-Id"));
                 Stand.sleep(20);
                 out.write(Stand.answer(200, "", "for " + request.header("X-Trace-Id")));
             });
--- a/review/standin/SecondAnswerCase.java
+++ b/review/standin/SecondAnswerCase.java
@@ -108,6 +108,7 @@
 
         private void finish(String id, int number) {
             byte[] answer = Stand.answer(200, "", "weight of " + id);
+            Stand.note(unit + " ran " + id + " and answers it");
             send(answer);
             if (Stand.TROUBLE && chance() < SECOND_SHARE) {
                 long lateUs = EARLIEST_US + (long) ((LATEST_US - EARLIEST_US) * chance());
