--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -13,15 +13,11 @@
 work=$(mktemp -d) || exit 2
 java -Xmx512m -cp review/classes "$2" "$folder" "$work" &
 pid=$!
-( sleep 112; kill -TERM $pid; sleep 3; kill -KILL $pid ) 2>/dev/null &
-guard=$!
 trap 'kill -TERM $pid 2>/dev/null' TERM INT
 wait $pid
 code=$?
-pkill -P $guard 2>/dev/null
-kill $guard 2>/dev/null
-if [ -f "$work/relay.pids" ]; then
-    # The harness ends its relays itself; this is for a harness that was killed.
+if [ "$code" -gt 128 ] && [ -f "$work/relay.pids" ]; then
+    # The program ends its relays itself, unless it was killed.
     while read -r relay; do kill -KILL "$relay" 2>/dev/null; done < "$work/relay.pids"
 fi
 rm -rf "$work"
--- a/review/standin/Stand.java
+++ b/review/standin/Stand.java
@@ -25,6 +25,9 @@
 final class Stand {
     static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
     static final boolean TROUBLE = !"0".equals(System.getenv("TROUBLE"));
+    /** A case that takes longer than this couldn't run. */
+    private static final long LIMIT_MS = 110_000;
+
     private static final long START_NS = System.nanoTime();
     private static PrintWriter record;
     private static Path work;
@@ -37,6 +40,10 @@
         work = Path.of(args[1]);
         note("trouble " + (TROUBLE ? "on" : "off"));
         Runtime.getRuntime().addShutdownHook(new Thread(() -> RELAYS.forEach(Process::destroyForcibly)));
+        start("limit", () -> {
+            sleep(LIMIT_MS);
+            end(2, "the case did not end in time");
+        });
     }
 
     /** Ends the case: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. */
@@ -390,6 +397,7 @@
         private final Path config;
         private final String options;
         private final String name;
+        private final String discoveryAddress;
         private Process process;
 
         /** Prepares a relay; {@code options} is added to the command of the deploy file. */
@@ -397,6 +405,7 @@
             this.name = name;
             this.port = freePort();
             this.options = options;
+            this.discoveryAddress = "127.0.0.1:" + discovery.port;
             this.config = work.resolve(name + ".json");
             Files.writeString(
                     config,
@@ -414,6 +423,7 @@
             builder.environment().put("PROXY_CONFIG", config.toString());
             builder.environment().put("PROXY_NAME", name);
             builder.environment().put("PROXY_LISTEN", "127.0.0.1:" + port);
+            builder.environment().put("PROXY_DISCOVERY", discoveryAddress);
             builder.environment().put("TMPDIR", work.toString());
             builder.redirectErrorStream(true);
             builder.redirectOutput(ProcessBuilder.Redirect.appendTo(new File(work.toFile(), name + ".log")));
