--- a/review/standin/SecondAnswerCase.java
+++ b/review/standin/SecondAnswerCase.java
@@ -102,7 +102,7 @@
 
         private synchronized void begin(String id) {
             int number = ++arrived;
-            long workUs = 15_000 + (long) (30_000 * chance());
+            long workUs = 85_000 + (long) (65_000 * chance());
             TIMERS.schedule(() -> finish(id, number), workUs, TimeUnit.MICROSECONDS);
         }
 
