--- a/review/standin/BadCookieCase.java
+++ b/review/standin/BadCookieCase.java
@@ -87,6 +87,7 @@
             socket.getOutputStream().write(head.getBytes());
             Stand.sleep(100);
             socket.getOutputStream().write(body.getBytes());
+            Stand.note("sent other-" + number);
             socket.setSoTimeout((int) Math.max(1, OWED_MS - (Stand.ms() - connectedMs)));
             Stand.Message answer = Stand.read(new BufferedInputStream(socket.getInputStream()));
             Stand.note("other-" + number + " " + (answer == null ? "closed" : "answered " + answer.status()));
--- a/review/standin/PoolSwapCase.java
+++ b/review/standin/PoolSwapCase.java
@@ -86,10 +86,11 @@
                                             "Content-Length: " + body.length() + "\r\n")
                                     + body.substring(0, 1000))
                             .getBytes());
+            Stand.note("sent half of " + id);
             Stand.sleep(1200);
             socket.getOutputStream().write(body.substring(1000).getBytes());
             long sentMs = Stand.ms();
-            Stand.note(id + " complete");
+            Stand.note("sent " + id + ", complete now");
             socket.setSoTimeout((int) EXPIRES_MS + 500);
             try {
                 Stand.Message answer = Stand.read(new BufferedInputStream(socket.getInputStream()));
--- a/review/standin/Stand.java
+++ b/review/standin/Stand.java
@@ -36,7 +36,7 @@
     private Stand() {}
 
     static void begin(String[] args) throws IOException {
-        record = new PrintWriter(Files.newBufferedWriter(Path.of(args[0], "record.txt")));
+        record = new PrintWriter(Files.newBufferedWriter(Path.of(args[0])));
         work = Path.of(args[1]);
         note("trouble " + (TROUBLE ? "on" : "off"));
         Runtime.getRuntime().addShutdownHook(new Thread(() -> RELAYS.forEach(Process::destroyForcibly)));
@@ -531,6 +531,7 @@
         try (Socket socket = relay.connect(2000)) {
             sentMs = ms();
             socket.setSoTimeout((int) expiresMs + 500);
+            note("sent " + head.replaceAll("(?s).*X-Trace-Id: (\\S+).*", "$1"));
             Message answer = exchange(socket, head, body);
             return answer == null
                     ? new Outcome(0, "", ms() - sentMs, true)
