Answer each request once whatever throws between its last byte and its response

Cause: RequestReader.accept entered AWAITING_RESPONSE, a state without a deadline, and read the cookie after it. Undertow answers 500 only for what its own call into the handler throws; a later body is read in a call of XNIO, which logs.

Unreadable cookies count as absent (docs/design.md, Formats), and their number is limited by the size of the head only.

--- a/src/main/java/gatelock/api/DecisionEngine.java
+++ b/src/main/java/gatelock/api/DecisionEngine.java
@@ -89,7 +89,8 @@
     }
 
     /**
-     * Accepts a request. Every accepted request gets exactly one final answer.
+     * Accepts a request. Every accepted request gets exactly one final answer. If this method throws, the request is
+     * not accepted, and the caller answers it.
      *
      * @param nowUs the current time
      * @param id the request's id, unique among the requests in flight
--- a/src/main/java/gatelock/boot/RequestPipeline.java
+++ b/src/main/java/gatelock/boot/RequestPipeline.java
@@ -11,9 +11,11 @@
 import gatelock.net.EventLoop;
 import gatelock.pipeline.ActionExecutor;
 import gatelock.pipeline.AttemptSender;
+import gatelock.pipeline.DeadlineMonitor;
 import gatelock.pipeline.EndpointResolver;
 import gatelock.pipeline.OutcomeRecorder;
 import gatelock.pipeline.RequestAdmitter;
+import gatelock.pipeline.RequestFailureHandler;
 import gatelock.pipeline.ResponseWriter;
 import gatelock.release.ReleaseControllerClient;
 import gatelock.session.SessionRegistry;
@@ -50,6 +52,7 @@
     private final SessionRegistry sessions;
     private final OperatorConfig.Membership membership;
     private final AttemptSender attemptSender;
+    private final DeadlineMonitor deadlineMonitor;
     private ReleaseControllerClient releaseController;
     private DiscoveryClient discovery;
 
@@ -89,8 +92,10 @@
                 config.maxSockets() * 2 / 5);
         ResponseWriter responseWriter = new ResponseWriter(eventLoop, inFlight, counters);
         OutcomeRecorder outcomes = new OutcomeRecorder(eventLoop, inFlight, counters, responseWriter);
-        attemptSender = new AttemptSender(eventLoop, endpointPool, outcomes);
-        actions = new ActionExecutor(eventLoop, inFlight);
+        RequestFailureHandler failures = new RequestFailureHandler(eventLoop, inFlight, counters, responseWriter);
+        deadlineMonitor = new DeadlineMonitor(eventLoop, inFlight, failures);
+        attemptSender = new AttemptSender(eventLoop, endpointPool, outcomes, failures);
+        actions = new ActionExecutor(eventLoop, inFlight, failures);
         engine = new ReleaseGate(config.settings(), actions);
         actions.bind(engine, new EndpointResolver(addresses, attemptSender), responseWriter, outcomes);
         admitter = new RequestAdmitter(
@@ -99,6 +104,7 @@
                 counters,
                 outcomes,
                 responseWriter,
+                failures,
                 engine,
                 admission,
                 config.settings().retryAfterHonored() ? config.settings().maxRetryAfterUs() : 0);
@@ -107,9 +113,10 @@
                 config.indexesByName("orgs"),
                 config.settings().routes(),
                 config.deadlinesUs());
-        requestReader = new RequestReader(counters, names, eventLoop, admitter, clientListener, admission);
+        requestReader = new RequestReader(counters, names, eventLoop, admitter, clientListener, failures, admission);
         if (sessions != null) {
-            requestReader.setSessionUpgrade(new WebSocketUpgrader(eventLoop, counters, outcomes, engine, sessions));
+            requestReader.setSessionUpgrade(
+                    new WebSocketUpgrader(eventLoop, counters, outcomes, failures, engine, sessions));
         }
     }
 
@@ -138,11 +145,12 @@
         }
         actions.bind(releaseController, discovery);
         engine.start(eventLoop.nowUs());
+        deadlineMonitor.start();
         DecisionEngine updatedEngine = sessions == null ? engine : new SessionAwareEngine(engine, sessions);
         discovery.start(updatedEngine, admission, config.initialEndpoints());
         releaseController.start(updatedEngine, config.initialRelease());
         if (sessions != null) {
-            closeDueSessions();
+            eventLoop.scheduleRepeatedly(SESSION_CHECK_INTERVAL_US, () -> sessions.closeDue(eventLoop.nowUs()));
         }
     }
 
@@ -165,12 +173,6 @@
                 subset);
     }
 
-    /** Closes the sessions that are due to migrate or to close, and repeats this periodically. */
-    private void closeDueSessions() {
-        sessions.closeDue(eventLoop.nowUs());
-        eventLoop.schedule(SESSION_CHECK_INTERVAL_US, this::closeDueSessions);
-    }
-
     /** Starts forwarding requests, first the queued ones; returns how many were queued. */
     int startForwarding() {
         return admitter.releaseQueued();
--- a/src/main/java/gatelock/decision/RequestRouter.java
+++ b/src/main/java/gatelock/decision/RequestRouter.java
@@ -56,7 +56,13 @@
         context.throughput().requestArrived(costUs);
         openRequests.put(request.token(), request);
         context.actions().scheduleTimer(remainingUs, request.token());
-        sendAttempt(request);
+        try {
+            sendAttempt(request);
+        } catch (RuntimeException | Error e) {
+            // The caller gets no handle and answers the request itself.
+            conclude(request);
+            throw e;
+        }
         return request;
     }
 
--- a/src/main/java/gatelock/http/BodyReader.java
+++ b/src/main/java/gatelock/http/BodyReader.java
@@ -14,7 +14,7 @@
 final class BodyReader implements ChannelListener<StreamSourceChannel> {
     private static final int INITIAL_CHUNKED_BUFFER_BYTES = 1024;
 
-    /** Receives the outcome. Exactly one method is called, once. */
+    /** Receives the outcome. Exactly one method is called, once; {@link #onFailed} also if another one has thrown. */
     interface Listener {
         /** The body has been read completely. */
         void onComplete(byte[] body);
@@ -24,6 +24,9 @@
 
         /** The client closed the connection, or its framing of the body is invalid. */
         void onAborted();
+
+        /** Reading the body, or one of the other methods, has thrown an unexpected exception. */
+        void onFailed(Throwable failure);
     }
 
     private final Listener listener;
@@ -45,12 +48,21 @@
     public void handleEvent(StreamSourceChannel channel) {
         try {
             readAvailable(channel);
+        } catch (RuntimeException | Error e) {
+            // Outside of the call that handles the head, Undertow only logs an exception.
+            listener.onFailed(e);
+        }
+    }
+
+    private void readAvailable(StreamSourceChannel channel) {
+        try {
+            readUntilBlocked(channel);
         } catch (IOException e) {
             listener.onAborted();
         }
     }
 
-    private void readAvailable(StreamSourceChannel channel) throws IOException {
+    private void readUntilBlocked(StreamSourceChannel channel) throws IOException {
         int count = channel.read(buffer);
         while (count > 0) {
             if (buffer.position() > ResponseReader.MAX_BODY_BYTES) {
--- a/src/main/java/gatelock/http/ClientListener.java
+++ b/src/main/java/gatelock/http/ClientListener.java
@@ -13,6 +13,7 @@
 import io.undertow.server.protocol.http.HttpOpenListener;
 import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.util.Headers;
+import io.undertow.util.SameThreadExecutor;
 import io.undertow.util.StatusCodes;
 import java.io.IOException;
 import java.lang.System.Logger.Level;
@@ -113,6 +114,8 @@
     public InetSocketAddress listen(InetSocketAddress address) throws IOException {
         OptionMap httpOptions = OptionMap.builder()
                 .set(UndertowOptions.MAX_HEADER_SIZE, MAX_HEAD_BYTES)
+                // The size of the head is the only limit for the number of cookies.
+                .set(UndertowOptions.MAX_COOKIES, MAX_HEAD_BYTES)
                 .set(UndertowOptions.ALWAYS_SET_DATE, false)
                 .set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
                 .getMap();
@@ -134,7 +137,7 @@
                         ChannelListeners.openListenerAdapter(connection -> onAccepted(connection, httpListener)),
                         socketOptions);
         acceptor.resumeAccepts();
-        eventLoop.schedule(CHECK_INTERVAL_US, this::closeOverdue);
+        eventLoop.scheduleRepeatedly(CHECK_INTERVAL_US, () -> connections.closeOverdue(eventLoop.nowUs()));
         return acceptor.getLocalAddress(InetSocketAddress.class);
     }
 
@@ -183,7 +186,15 @@
         this.ready = ready;
     }
 
-    private void handle(HttpServerExchange exchange) throws Exception {
+    private void handle(HttpServerExchange exchange) {
+        try {
+            handleRequest(exchange);
+        } catch (Exception | Error e) {
+            endAfterFailure(exchange, e);
+        }
+    }
+
+    private void handleRequest(HttpServerExchange exchange) throws Exception {
         String path = exchange.getRequestPath();
         if (path.startsWith(INTERNAL_PREFIX)) {
             exchange.setStatusCode(healthStatus(path));
@@ -238,12 +249,44 @@
         connections.close(eventLoop.nowUs(), connectionOf(exchange), ClientCloseReason.CLIENT_DISCONNECTED);
     }
 
+    /**
+     * Ends an exchange in which an unexpected exception was thrown: responds with an error, or closes the connection if
+     * a response has started, as the client must not take a truncated response for a complete one.
+     */
+    void endAfterFailure(HttpServerExchange exchange, Throwable failure) {
+        LOG.log(Level.ERROR, "unexpected exception, the request is ended", failure);
+        StreamConnection connection = connectionOf(exchange);
+        try {
+            if (!exchange.isResponseStarted() && !connections.isWritingResponse(connection)) {
+                exchange.getResponseHeaders().clear();
+                reject(exchange, StatusCodes.INTERNAL_SERVER_ERROR);
+                return;
+            }
+        } catch (RuntimeException | Error e) {
+            eventLoop.logUnexpected(e);
+        }
+        connections.close(eventLoop.nowUs(), connection, ClientCloseReason.FAILED);
+        // The connection is not among the connections any more if it was being upgraded.
+        IoUtils.safeClose(connection);
+    }
+
+    /** Responds to a request that is not accepted, whether or not it has been read completely. */
+    void reject(HttpServerExchange exchange, int status) {
+        exchange.setStatusCode(status);
+        if (exchange.isRequestComplete()) {
+            responseStarted(exchange);
+            exchange.endExchange();
+        } else {
+            exchange.dispatch(SameThreadExecutor.INSTANCE, () -> rejectUnread(exchange));
+        }
+    }
+
     /**
      * Responds to an incomplete request that will not be read, with the status that is set on the exchange. Undertow
      * would read the rest of the request before it responds. Here the response is sent first, the rest is not read, and
      * the connection is closed shortly afterwards.
      */
-    void rejectUnread(HttpServerExchange exchange) {
+    private void rejectUnread(HttpServerExchange exchange) {
         exchange.setPersistent(false);
         exchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, "0");
         responseStarted(exchange);
@@ -260,11 +303,6 @@
         }
     }
 
-    private void closeOverdue() {
-        connections.closeOverdue(eventLoop.nowUs());
-        eventLoop.schedule(CHECK_INTERVAL_US, this::closeOverdue);
-    }
-
     /**
      * Returns the time by which all accepted requests must be answered; {@link Long#MAX_VALUE} until the relay shuts
      * down.
--- a/src/main/java/gatelock/http/HttpResponseSink.java
+++ b/src/main/java/gatelock/http/HttpResponseSink.java
@@ -82,12 +82,19 @@
         } catch (IOException e) {
             pooled.close();
         }
-        admitter.clientDisconnected(request);
-        clientListener.clientDisconnected(exchange);
+        try {
+            admitter.clientDisconnected(request);
+        } finally {
+            clientListener.clientDisconnected(exchange);
+        }
     }
 
     @Override
     public void forward(UpstreamResponse response) {
+        respond(() -> writeResponse(response));
+    }
+
+    private void writeResponse(UpstreamResponse response) {
         if (sessionHandover != null) {
             clientListener.connectionUpgraded(exchange);
             sessionHandover.accept(exchange);
@@ -105,6 +112,10 @@
 
     @Override
     public void reject(long retryAfterUs) {
+        respond(() -> writeRejection(retryAfterUs));
+    }
+
+    private void writeRejection(long retryAfterUs) {
         exchange.setStatusCode(StatusCodes.SERVICE_UNAVAILABLE);
         if (retryAfterUs > 0) {
             // The value is in seconds, with milliseconds as the decimal fraction.
@@ -116,8 +127,18 @@
 
     @Override
     public void fail(boolean timedOut) {
-        exchange.setStatusCode(timedOut ? StatusCodes.GATEWAY_TIME_OUT : StatusCodes.BAD_GATEWAY);
-        send(NO_BODY);
+        respond(() -> {
+            exchange.setStatusCode(timedOut ? StatusCodes.GATEWAY_TIME_OUT : StatusCodes.BAD_GATEWAY);
+            send(NO_BODY);
+        });
+    }
+
+    private void respond(Runnable response) {
+        try {
+            response.run();
+        } catch (RuntimeException | Error e) {
+            clientListener.endAfterFailure(exchange, e);
+        }
     }
 
     private void send(byte[] body) {
--- a/src/main/java/gatelock/http/RequestHeaders.java
+++ b/src/main/java/gatelock/http/RequestHeaders.java
@@ -2,6 +2,7 @@
 
 import gatelock.api.DecisionEngine;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.handlers.Cookie;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
@@ -74,6 +75,19 @@
         return colon < 0 ? host : host.substring(0, colon);
     }
 
+    /**
+     * Returns the value of the cookie with the sticky key, or null if there is none. The key only helps to choose an
+     * endpoint, so cookies that cannot be parsed, such as {@code $Version=x}, count as absent.
+     */
+    static String keyCookie(HttpServerExchange exchange) {
+        try {
+            Cookie cookie = exchange.getRequestCookie(KEY_COOKIE);
+            return cookie == null ? null : cookie.getValue();
+        } catch (IllegalArgumentException | IllegalStateException e) {
+            return null;
+        }
+    }
+
     /** Converts a sticky key to a non-negative number: hexadecimal digits are parsed, any other text is hashed. */
     static long key(String text) {
         if (text == null || text.isEmpty()) {
--- a/src/main/java/gatelock/http/RequestReader.java
+++ b/src/main/java/gatelock/http/RequestReader.java
@@ -6,12 +6,12 @@
 import gatelock.config.SessionPolicy;
 import gatelock.net.EventLoop;
 import gatelock.pipeline.RequestAdmitter;
+import gatelock.pipeline.RequestFailureHandler;
 import gatelock.pipeline.RequestProfile;
 import gatelock.state.Counters;
 import gatelock.state.InFlightRequest;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.server.handlers.Cookie;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.SameThreadExecutor;
 import io.undertow.util.StatusCodes;
@@ -77,6 +77,7 @@
     private final EventLoop eventLoop;
     private final RequestAdmitter admitter;
     private final ClientListener clientListener;
+    private final RequestFailureHandler failures;
     private final Admission admission;
     private final RequestValidator validator;
     private SessionUpgrade upgrade;
@@ -89,6 +90,7 @@
      * @param eventLoop the I/O thread
      * @param admitter the next stage
      * @param clientListener manages the client connections
+     * @param failures ends accepted requests on which this stage fails
      * @param admission the active configuration version, or null if the relay has none
      */
     public RequestReader(
@@ -97,12 +99,14 @@
             EventLoop eventLoop,
             RequestAdmitter admitter,
             ClientListener clientListener,
+            RequestFailureHandler failures,
             Admission admission) {
         this.counters = counters;
         this.names = names;
         this.eventLoop = eventLoop;
         this.admitter = admitter;
         this.clientListener = clientListener;
+        this.failures = failures;
         this.admission = admission;
         this.validator = new RequestValidator(names);
     }
@@ -186,6 +190,11 @@
                 counters.increment("not taken, broken off");
                 clientListener.clientDisconnected(exchange);
             }
+
+            @Override
+            public void onFailed(Throwable failure) {
+                clientListener.endAfterFailure(exchange, failure);
+            }
         });
         reader.handleEvent(exchange.getRequestChannel());
     }
@@ -193,13 +202,7 @@
     /** Responds to a request that is not accepted, whether or not it has been read completely. */
     private void reject(HttpServerExchange exchange, int status) {
         counters.increment("not taken " + status);
-        exchange.setStatusCode(status);
-        if (exchange.isRequestComplete()) {
-            clientListener.responseStarted(exchange);
-            exchange.endExchange();
-        } else {
-            exchange.dispatch(SameThreadExecutor.INSTANCE, () -> clientListener.rejectUnread(exchange));
-        }
+        clientListener.reject(exchange, status);
     }
 
     private void accept(HttpServerExchange exchange, Admission.MatchedRoute matchedRoute, int route, byte[] body) {
@@ -208,7 +211,6 @@
             reject(exchange, StatusCodes.BAD_REQUEST);
             return;
         }
-        clientListener.requestCompleted(exchange);
         HttpResponseSink responseSink = new HttpResponseSink(exchange, clientListener, admitter);
         long deadlineUs = deadlineUs(exchange, route);
         byte[] head = ForwardedRequestHead.of(exchange, body.length);
@@ -218,10 +220,12 @@
             responseSink.setSessionHandover(upgrade.prepare(exchange, request, matchedRoute.sessionPolicy(), route));
         }
         RequestProfile profile = profile(exchange, route);
+        // From here on each exception has to be attributed to the request, so that it is answered exactly once.
+        clientListener.requestCompleted(exchange);
         // Undertow ends an exchange whose handler returns without dispatching it.
         exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
             admitter.admit(request, matchedRoute, profile);
-            responseSink.watchForClose();
+            failures.run(request, responseSink::watchForClose);
         });
     }
 
@@ -240,8 +244,7 @@
         HeaderMap headers = exchange.getRequestHeaders();
         Integer tenantIndex = names.tenantIndexes().get(headers.getFirst(RequestHeaders.CUSTOMER));
         int tenant = tenantIndex == null ? names.tenantIndexes().size() : tenantIndex;
-        Cookie cookie = exchange.getRequestCookie(RequestHeaders.KEY_COOKIE);
-        long key = RequestHeaders.key(cookie == null ? null : cookie.getValue());
+        long key = RequestHeaders.key(RequestHeaders.keyCookie(exchange));
         return new RequestProfile(
                 route, tenant, key, RequestHeaders.costUs(headers.getFirst(RequestHeaders.SIZE_HINT)));
     }
--- a/src/main/java/gatelock/net/ConnectionPool.java
+++ b/src/main/java/gatelock/net/ConnectionPool.java
@@ -193,9 +193,9 @@
     }
 
     private void closeExpired() {
-        idleConnections.closeIdleSinceBefore(stopped ? Long.MAX_VALUE : eventLoop.nowUs() - idleTimeoutUs);
         if (!stopped) {
             eventLoop.schedule(Math.min(MAX_SWEEP_INTERVAL_US, idleTimeoutUs / 4), this::closeExpired);
         }
+        idleConnections.closeIdleSinceBefore(stopped ? Long.MAX_VALUE : eventLoop.nowUs() - idleTimeoutUs);
     }
 }
--- a/src/main/java/gatelock/net/EventLoop.java
+++ b/src/main/java/gatelock/net/EventLoop.java
@@ -47,6 +47,22 @@
         return thread.executeAfter(() -> run(task), delayMs, TimeUnit.MILLISECONDS);
     }
 
+    /**
+     * Runs a task periodically, for the first time after one interval. It continues to run if it throws.
+     *
+     * @param intervalUs the time from the end of one run to the next, rounded up to whole milliseconds
+     * @param task the task
+     */
+    public void scheduleRepeatedly(long intervalUs, Runnable task) {
+        schedule(intervalUs, () -> {
+            try {
+                task.run();
+            } finally {
+                scheduleRepeatedly(intervalUs, task);
+            }
+        });
+    }
+
     /**
      * Runs slow work on the single task thread of the worker, and then its continuation on the I/O thread.
      *
@@ -77,14 +93,14 @@
     }
 
     /** Logs an exception that indicates a defect, but must not end the thread. */
-    void logUnexpected(Throwable e) {
+    public void logUnexpected(Throwable e) {
         LOG.log(Level.ERROR, "unexpected exception, continuing", e);
     }
 
     private void run(Runnable task) {
         try {
             task.run();
-        } catch (RuntimeException | AssertionError e) {
+        } catch (RuntimeException | Error e) {
             logUnexpected(e);
         }
     }
--- a/src/main/java/gatelock/pipeline/ActionExecutor.java
+++ b/src/main/java/gatelock/pipeline/ActionExecutor.java
@@ -9,6 +9,7 @@
 import gatelock.state.InFlightRequest;
 import gatelock.state.InFlightRequests;
 import java.lang.System.Logger.Level;
+import java.util.function.Consumer;
 
 /**
  * Executes the actions that the decision engine requests. Each action runs after the engine call that requested it has
@@ -19,6 +20,7 @@
 
     private final EventLoop eventLoop;
     private final InFlightRequests inFlight;
+    private final RequestFailureHandler failures;
     private EndpointResolver endpointResolver;
     private ResponseWriter responseWriter;
     private OutcomeRecorder outcomeRecorder;
@@ -32,10 +34,12 @@
      *
      * @param eventLoop the I/O thread
      * @param inFlight the requests in flight
+     * @param failures ends the requests on which an action fails
      */
-    public ActionExecutor(EventLoop eventLoop, InFlightRequests inFlight) {
+    public ActionExecutor(EventLoop eventLoop, InFlightRequests inFlight, RequestFailureHandler failures) {
         this.eventLoop = eventLoop;
         this.inFlight = inFlight;
+        this.failures = failures;
     }
 
     /**
@@ -76,14 +80,12 @@
 
     @Override
     public void sendAttempt(String id, String endpoint, long timeoutUs) {
-        InFlightRequest request = inFlight.get(id);
-        eventLoop.execute(() -> endpointResolver.send(request, endpoint, timeoutUs));
+        execute(id, request -> endpointResolver.send(request, endpoint, timeoutUs));
     }
 
     @Override
     public void shedRequest(String id, long retryAfterUs) {
-        InFlightRequest request = inFlight.get(id);
-        eventLoop.execute(() -> {
+        execute(id, request -> {
             responseWriter.reject(request, retryAfterUs);
             outcomeRecorder.removeIfSettled(request);
         });
@@ -91,8 +93,7 @@
 
     @Override
     public void failRequest(String id) {
-        InFlightRequest request = inFlight.get(id);
-        eventLoop.execute(() -> {
+        execute(id, request -> {
             responseWriter.fail(request);
             outcomeRecorder.removeIfSettled(request);
         });
@@ -100,8 +101,15 @@
 
     @Override
     public void cancelAttempt(String id, int attemptNo) {
+        execute(id, request -> request.cancelAttempt(attemptNo));
+    }
+
+    /** Queues an action on a request. A request that failed unexpectedly is not in flight any more. */
+    private void execute(String id, Consumer<InFlightRequest> action) {
         InFlightRequest request = inFlight.get(id);
-        eventLoop.execute(() -> request.cancelAttempt(attemptNo));
+        if (request != null) {
+            eventLoop.execute(() -> failures.run(request, () -> action.accept(request)));
+        }
     }
 
     @Override
--- a/src/main/java/gatelock/pipeline/AttemptSender.java
+++ b/src/main/java/gatelock/pipeline/AttemptSender.java
@@ -28,6 +28,7 @@
     private final EventLoop eventLoop;
     private final ConnectionPool pool;
     private final OutcomeRecorder outcomeRecorder;
+    private final RequestFailureHandler failures;
     private BiConsumer<String, AttemptResult> attemptListener = (endpoint, result) -> {};
 
     /**
@@ -36,11 +37,14 @@
      * @param eventLoop the I/O thread
      * @param pool the connections to endpoints
      * @param outcomeRecorder receives the result of each attempt
+     * @param failures ends the requests on which an attempt fails with an exception
      */
-    public AttemptSender(EventLoop eventLoop, ConnectionPool pool, OutcomeRecorder outcomeRecorder) {
+    public AttemptSender(
+            EventLoop eventLoop, ConnectionPool pool, OutcomeRecorder outcomeRecorder, RequestFailureHandler failures) {
         this.eventLoop = eventLoop;
         this.pool = pool;
         this.outcomeRecorder = outcomeRecorder;
+        this.failures = failures;
     }
 
     /** Sets the listener that receives the endpoint name and the result of each attempt from now on. */
@@ -76,6 +80,7 @@
         private final int number;
         private final long sentUs = eventLoop.nowUs();
         private OutboundConnection connection;
+        private boolean cancelled;
         private boolean ended;
         /** Whether the decision engine withdrew the attempt before its first byte was sent. */
         private boolean withdrawn;
@@ -95,7 +100,12 @@
             ByteBuffer message =
                     ByteBuffer.allocate(request.head().length + timeoutHeader.length + request.body().length);
             message.put(request.head()).put(timeoutHeader).put(request.body()).flip();
-            connection = pool.send(address, message, attemptTimeoutUs, this);
+            try {
+                connection = pool.send(address, message, attemptTimeoutUs, this);
+            } catch (RuntimeException | Error e) {
+                eventLoop.logUnexpected(e);
+                end(message.position() > 0 ? AttemptResult.BROKEN_OFF : AttemptResult.NOT_CONNECTED, null);
+            }
         }
 
         /**
@@ -105,8 +115,8 @@
          * suffice for any two endpoints, and adds to the duration of each cancelled request.
          */
         private void cancel() {
-            if (!ended) {
-                ended = true;
+            if (!ended && !cancelled) {
+                cancelled = true;
                 connection.abort();
                 eventLoop.schedule(CANCELLATION_DELAY_US, () -> end(AttemptResult.CANCELLED, null));
             }
@@ -114,7 +124,8 @@
 
         @Override
         public boolean maySend() {
-            withdrawn = !request.handle().mayStart(eventLoop.nowUs(), number);
+            withdrawn = true;
+            failures.run(request, () -> withdrawn = !request.handle().mayStart(eventLoop.nowUs(), number));
             return !withdrawn;
         }
 
@@ -139,9 +150,14 @@
         }
 
         private void end(AttemptResult result, UpstreamResponse response) {
+            if (ended) {
+                return;
+            }
             ended = true;
-            attemptListener.accept(endpoint, result);
-            outcomeRecorder.attemptEnded(request, number, result, eventLoop.nowUs() - sentUs, response);
+            failures.run(request, () -> {
+                attemptListener.accept(endpoint, result);
+                outcomeRecorder.attemptEnded(request, number, result, eventLoop.nowUs() - sentUs, response);
+            });
         }
     }
 }
--- a/src/main/java/gatelock/pipeline/OutcomeRecorder.java
+++ b/src/main/java/gatelock/pipeline/OutcomeRecorder.java
@@ -57,6 +57,7 @@
         if (!request.isCompleted()) {
             counters.increment("callers left");
             inFlight.markCompleted(request);
+            request.runCompletionAction();
             if (request.isAccepted()) {
                 request.handle().responseNoLongerOwed(eventLoop.nowUs());
             }
--- a/src/main/java/gatelock/pipeline/RequestAdmitter.java
+++ b/src/main/java/gatelock/pipeline/RequestAdmitter.java
@@ -23,6 +23,7 @@
     private final Counters counters;
     private final OutcomeRecorder outcomeRecorder;
     private final ResponseWriter responseWriter;
+    private final RequestFailureHandler failures;
     private final DecisionEngine engine;
     private final Admission admission;
     private final long maxRetryAfterUs;
@@ -37,6 +38,7 @@
      * @param counters counts accepted and rejected requests
      * @param outcomeRecorder notified of the requests that end in this stage
      * @param responseWriter responds to the requests that are rejected in this stage
+     * @param failures ends the requests on which this stage or the engine fails
      * @param engine decides on the requests
      * @param admission applies the active configuration version, or null if versioned configuration is disabled
      * @param maxRetryAfterUs the maximum Retry-After sent to a client, in microseconds; 0 to send none
@@ -47,6 +49,7 @@
             Counters counters,
             OutcomeRecorder outcomeRecorder,
             ResponseWriter responseWriter,
+            RequestFailureHandler failures,
             DecisionEngine engine,
             Admission admission,
             long maxRetryAfterUs) {
@@ -55,6 +58,7 @@
         this.counters = counters;
         this.outcomeRecorder = outcomeRecorder;
         this.responseWriter = responseWriter;
+        this.failures = failures;
         this.engine = engine;
         this.admission = admission;
         this.maxRetryAfterUs = maxRetryAfterUs;
@@ -69,7 +73,8 @@
     }
 
     /**
-     * Accepts a valid request, to which exactly one response will be sent unless its client leaves first.
+     * Accepts a valid request, to which exactly one response will be sent unless its client leaves first. Does not
+     * throw: if processing the request fails, the request is ended with an error.
      *
      * @param request the request
      * @param matchedRoute the route of the active configuration version that matches it, or null if there is no version
@@ -79,10 +84,16 @@
     public void admit(InFlightRequest request, Admission.MatchedRoute matchedRoute, RequestProfile profile) {
         counters.increment("taken");
         inFlight.add(request);
-        if (matchedRoute == null) {
-            submitToEngine(request, profile, RequestConstraints.NONE);
-            return;
-        }
+        failures.run(request, () -> {
+            if (matchedRoute == null) {
+                submitToEngine(request, profile, RequestConstraints.NONE);
+            } else {
+                submitToLimits(request, matchedRoute, profile);
+            }
+        });
+    }
+
+    private void submitToLimits(InFlightRequest request, Admission.MatchedRoute matchedRoute, RequestProfile profile) {
         LimitedRequest limitedRequest = new LimitedRequest(request, profile);
         Admission.RoutedRequest routedRequest = admission.admit(
                 eventLoop.nowUs(), matchedRoute, profile.tenant(), request.deadlineUs(), limitedRequest);
@@ -125,7 +136,7 @@
                     constraints));
             outcomeRecorder.removeIfSettled(request);
         } else {
-            queueForStartup(request, () -> submitToEngine(request, profile, constraints));
+            queueForStartup(request, () -> failures.run(request, () -> submitToEngine(request, profile, constraints)));
         }
     }
 
@@ -161,7 +172,7 @@
             // to the engine later.
             eventLoop.execute(() -> {
                 if (!request.isCompleted()) {
-                    submitToEngine(request, profile, routedRequest);
+                    failures.run(request, () -> submitToEngine(request, profile, routedRequest));
                 }
             });
         }
@@ -186,14 +197,17 @@
         checkScheduled = true;
         eventLoop.schedule(Math.min(nextUs - nowUs, MAX_CHECK_INTERVAL_US), () -> {
             checkScheduled = false;
-            admission.processQueues(eventLoop.nowUs());
-            scheduleLimitCheck();
+            try {
+                admission.processQueues(eventLoop.nowUs());
+            } finally {
+                scheduleLimitCheck();
+            }
         });
     }
 
     /** Records that the client of a request has closed the connection, so that no response is owed any more. */
     public void clientDisconnected(InFlightRequest request) {
         startupQueue.remove(request);
-        outcomeRecorder.clientDisconnected(request);
+        failures.run(request, () -> outcomeRecorder.clientDisconnected(request));
     }
 }
--- a/src/main/java/gatelock/pipeline/ResponseWriter.java
+++ b/src/main/java/gatelock/pipeline/ResponseWriter.java
@@ -27,26 +27,32 @@
 
     /** Forwards the response of an endpoint to the client of a request that is not completed. */
     void forward(InFlightRequest request, UpstreamResponse response) {
-        counters.increment("completed");
-        inFlight.markCompleted(request);
-        request.responseSink().forward(response);
+        complete(request, "completed", () -> request.responseSink().forward(response));
     }
 
     /** Rejects a request, unless it is completed. If {@code retryAfterUs} is 0, no Retry-After is sent. */
     void reject(InFlightRequest request, long retryAfterUs) {
         if (!request.isCompleted()) {
-            counters.increment("shed");
-            inFlight.markCompleted(request);
-            request.responseSink().reject(retryAfterUs);
+            complete(request, "shed", () -> request.responseSink().reject(retryAfterUs));
         }
     }
 
     /** Reports a request as failed, unless it is completed. */
     void fail(InFlightRequest request) {
         if (!request.isCompleted()) {
-            counters.increment("errored");
-            inFlight.markCompleted(request);
-            request.responseSink().fail(eventLoop.nowUs() >= request.deadlineUs());
+            boolean timedOut = eventLoop.nowUs() >= request.deadlineUs();
+            complete(request, "errored", () -> request.responseSink().fail(timedOut));
+        }
+    }
+
+    /** Completes a request and responds, even if the completion action throws. */
+    private void complete(InFlightRequest request, String counter, Runnable response) {
+        counters.increment(counter);
+        inFlight.markCompleted(request);
+        try {
+            request.runCompletionAction();
+        } finally {
+            response.run();
         }
     }
 }
--- a/src/main/java/gatelock/state/ClientCloseReason.java
+++ b/src/main/java/gatelock/state/ClientCloseReason.java
@@ -18,6 +18,8 @@
     SHUTDOWN("clients closed, leaving"),
     /** A request was rejected before it was read completely. */
     REJECTED("clients closed, refused"),
+    /** Handling its request or writing the response has thrown an unexpected exception. */
+    FAILED("clients closed, failed"),
     /** The client closed the connection or aborted its request. */
     CLIENT_DISCONNECTED("clients closed, gone first");
 
@@ -34,10 +36,10 @@
 
     /**
      * Returns whether a connection may be closed for this reason in any state, because its client is not owed a
-     * response any more.
+     * response any more or cannot be sent one.
      */
     boolean appliesInAnyState() {
-        return this == CLIENT_DISCONNECTED || this == REJECTED;
+        return this == CLIENT_DISCONNECTED || this == REJECTED || this == FAILED;
     }
 
     /** Returns the reason for closing a connection that timed out in a state. */
--- a/src/main/java/gatelock/state/ClientConnections.java
+++ b/src/main/java/gatelock/state/ClientConnections.java
@@ -99,6 +99,11 @@
         return entry == null ? null : entry.state;
     }
 
+    /** Returns whether the response to a request on a connection has started and is not completely written. */
+    public boolean isWritingResponse(C connection) {
+        return state(connection) == ClientConnectionState.WRITING_RESPONSE;
+    }
+
     /** Adds a connection that was accepted. */
     public void accepted(long nowUs, C connection) {
         counters.increment("client connections");
--- a/src/main/java/gatelock/state/InFlightRequest.java
+++ b/src/main/java/gatelock/state/InFlightRequest.java
@@ -84,12 +84,16 @@
         return completed;
     }
 
-    /** Marks the request as completed and runs the completion action. */
+    /** Marks the request as completed. The caller then runs the completion action. */
     void markCompleted() {
         completed = true;
-        if (completionAction != null) {
-            completionAction.run();
-            completionAction = null;
+    }
+
+    /** Runs the completion action, if there is one and it has neither run nor been taken. */
+    public void runCompletionAction() {
+        Runnable action = takeCompletionAction();
+        if (action != null) {
+            action.run();
         }
     }
 
--- a/src/main/java/gatelock/state/InFlightRequests.java
+++ b/src/main/java/gatelock/state/InFlightRequests.java
@@ -1,6 +1,8 @@
 package gatelock.state;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /** All requests in flight, by id. An answered request remains in flight until its last attempt has ended. */
@@ -32,14 +34,25 @@
         byId.put(request.id(), request);
     }
 
+    /** Returns the requests that have no final answer although their deadline was at or before the given time. */
+    public List<InFlightRequest> unansweredAt(long deadlineUs) {
+        List<InFlightRequest> unanswered = new ArrayList<>();
+        for (InFlightRequest request : byId.values()) {
+            if (!request.isCompleted() && request.deadlineUs() <= deadlineUs) {
+                unanswered.add(request);
+            }
+        }
+        return unanswered;
+    }
+
     /** Marks a request as completed: it gets its final answer now, or its client has disconnected. */
     public void markCompleted(InFlightRequest request) {
         counters.checkInvariant(!request.isCompleted(), "a second final answer");
         request.markCompleted();
     }
 
-    /** Removes a request that is completed and whose attempts have all ended. */
+    /** Removes a request. Another request that has its id by now stays. */
     public void remove(InFlightRequest request) {
-        byId.remove(request.id());
+        byId.remove(request.id(), request);
     }
 }
--- a/src/main/java/gatelock/state/ResponseSink.java
+++ b/src/main/java/gatelock/state/ResponseSink.java
@@ -1,6 +1,9 @@
 package gatelock.state;
 
-/** Sends the response to a client's request, in any protocol. Exactly one of its methods is called, and only once. */
+/**
+ * Sends the response to a client's request, in any protocol. Exactly one of its methods is called, and only once. If a
+ * response cannot be sent, the sink itself closes the connection to the client.
+ */
 public interface ResponseSink {
 
     /** Forwards an endpoint's response. */
--- a/src/main/java/gatelock/websocket/OpeningHandshake.java
+++ b/src/main/java/gatelock/websocket/OpeningHandshake.java
@@ -75,8 +75,9 @@
             end(AttemptResult.NOT_SENT);
             return;
         }
+        long attemptTimeoutUs = timeoutUs > 0 ? Math.min(timeoutUs, remainingUs) : remainingUs;
         timeout = loop.schedule(
-                timeoutUs > 0 ? Math.min(timeoutUs, remainingUs) : remainingUs, () -> end(AttemptResult.TIMED_OUT));
+                attemptTimeoutUs, () -> context.failures().run(request, () -> end(AttemptResult.TIMED_OUT)));
         connect(handshakeRequest, uri);
     }
 
@@ -96,18 +97,22 @@
                 new IoFuture.HandlingNotifier<WebSocketChannel, Void>() {
                     @Override
                     public void handleDone(WebSocketChannel channel, Void attachment) {
-                        loop.execute(() -> connected(channel, negotiation.getSelectedSubProtocol()));
+                        execute(() -> connected(channel, negotiation.getSelectedSubProtocol()));
                     }
 
                     @Override
                     public void handleFailed(IOException failure, Void attachment) {
                         boolean refused = failure instanceof ConnectException;
-                        loop.execute(() -> end(refused ? AttemptResult.NOT_CONNECTED : AttemptResult.ERRORED));
+                        execute(() -> end(refused ? AttemptResult.NOT_CONNECTED : AttemptResult.ERRORED));
                     }
                 },
                 null);
     }
 
+    private void execute(Runnable step) {
+        loop.execute(() -> context.failures().run(request, step));
+    }
+
     private void connected(WebSocketChannel channel, String selectedSubprotocol) {
         if (ended || request.isCompleted()) {
             IoUtils.safeClose(channel);
--- a/src/main/java/gatelock/websocket/SessionContext.java
+++ b/src/main/java/gatelock/websocket/SessionContext.java
@@ -3,6 +3,7 @@
 import gatelock.api.DecisionEngine;
 import gatelock.net.EventLoop;
 import gatelock.pipeline.OutcomeRecorder;
+import gatelock.pipeline.RequestFailureHandler;
 import gatelock.session.SessionRegistry;
 import gatelock.state.Counters;
 import io.undertow.connector.ByteBufferPool;
@@ -13,6 +14,7 @@
  * @param loop the event loop of the only I/O thread
  * @param counters the relay's counters
  * @param recorder records the results of opening handshakes
+ * @param failures ends requests whose opening handshake fails with an exception
  * @param engine decides whether a message may be forwarded to its endpoint
  * @param sessions all sessions of the relay
  * @param buffers buffer pool for the connections to endpoints
@@ -21,6 +23,7 @@
         EventLoop loop,
         Counters counters,
         OutcomeRecorder recorder,
+        RequestFailureHandler failures,
         DecisionEngine engine,
         SessionRegistry sessions,
         ByteBufferPool buffers) {}
--- a/src/main/java/gatelock/websocket/SessionOpening.java
+++ b/src/main/java/gatelock/websocket/SessionOpening.java
@@ -59,17 +59,27 @@
     void answerClient(HttpServerExchange exchange) {
         Set<String> subprotocols = opened.subprotocol() == null ? Set.of() : Set.of(opened.subprotocol());
         Handshake handshake = new Hybi13Handshake(subprotocols, false);
-        WebSocketConnectionCallback startSession = (facade, clientChannel) ->
+        WebSocketConnectionCallback startSession = (facade, clientChannel) -> {
+            try {
                 new WebSocketProxySession(context, policy, route, clientChannel, opened, onFinished).start();
+            } catch (RuntimeException | Error e) {
+                closeBoth(exchange, e);
+            }
+        };
         try {
             new WebSocketProtocolHandshakeHandler(List.of(handshake), startSession).handleRequest(exchange);
-        } catch (Exception e) {
-            LOG.log(Level.DEBUG, () -> "WebSocket upgrade of a client failed: " + e);
-            IoUtils.safeClose(opened.channel(), exchange.getConnection());
-            if (onFinished != null) {
-                onFinished.run();
-                onFinished = null;
-            }
+        } catch (Exception | Error e) {
+            closeBoth(exchange, e);
+        }
+    }
+
+    /** Closes the connections to the client and to the endpoint, and releases the session's share of the limits. */
+    private void closeBoth(HttpServerExchange exchange, Throwable failure) {
+        LOG.log(Level.DEBUG, () -> "WebSocket upgrade of a client failed: " + failure);
+        IoUtils.safeClose(opened.channel(), exchange.getConnection());
+        if (onFinished != null) {
+            onFinished.run();
+            onFinished = null;
         }
     }
 }
--- a/src/main/java/gatelock/websocket/WebSocketUpgrader.java
+++ b/src/main/java/gatelock/websocket/WebSocketUpgrader.java
@@ -5,6 +5,7 @@
 import gatelock.http.RequestReader;
 import gatelock.net.EventLoop;
 import gatelock.pipeline.OutcomeRecorder;
+import gatelock.pipeline.RequestFailureHandler;
 import gatelock.session.SessionRegistry;
 import gatelock.state.Counters;
 import gatelock.state.InFlightRequest;
@@ -42,6 +43,7 @@
      * @param loop the event loop of the only I/O thread
      * @param counters the relay's counters
      * @param recorder records the results of opening handshakes
+     * @param failures ends requests whose opening handshake fails with an exception
      * @param engine decides whether a message may be forwarded to its endpoint
      * @param sessions all sessions of the relay
      */
@@ -49,12 +51,14 @@
             EventLoop loop,
             Counters counters,
             OutcomeRecorder recorder,
+            RequestFailureHandler failures,
             DecisionEngine engine,
             SessionRegistry sessions) {
         this.context = new SessionContext(
                 loop,
                 counters,
                 recorder,
+                failures,
                 engine,
                 sessions,
                 new DefaultByteBufferPool(true, BUFFER_BYTES, MAX_POOLED_BUFFERS, 0, 0));
--- a/src/test/java/gatelock/RequestValidationTest.java
+++ b/src/test/java/gatelock/RequestValidationTest.java
@@ -17,6 +17,9 @@
 
 /** Requests that are malformed, too large or match no route are rejected and never forwarded. */
 final class RequestValidationTest extends RelayTestCase {
+    /** The time after which a connection without a request is closed, and some time for a busy machine. */
+    private static final int IDLE_CLOSE_TIMEOUT_MS = 5_000;
+
     /** A request that is rejected, and the status of the response. */
     private record InvalidRequest(String line, String traceId, int status) {}
 
@@ -102,6 +105,33 @@
         assertThat(endpoint.calls()).isEmpty();
     }
 
+    /**
+     * Guards against requests that are never answered because the relay throws on a cookie that it cannot parse, which
+     * used up its connections for good.
+     */
+    @Test
+    void servesRequestWithUnreadableCookiesAndFreesItsConnection() throws Exception {
+        startRelay();
+        String manyCookies = "c=1; ".repeat(300) + "k=7f3a";
+        for (String cookie : List.of("$Version=x; k=7f3a", "$Version=; k=7f3a", manyCookies)) {
+            for (boolean bodyLater : new boolean[] {false, true}) {
+                try (Socket client = relay.connect()) {
+                    client.setSoTimeout(IDLE_CLOSE_TIMEOUT_MS);
+                    RawHttp.write(
+                            client,
+                            "POST /claim HTTP/1.1\r\nHost: x\r\nX-Trace-Id: d\r\nCookie: " + cookie
+                                    + "\r\nContent-Length: 4\r\n\r\n" + (bodyLater ? "" : "body"));
+                    Thread.sleep(bodyLater ? 100 : 0);
+                    RawHttp.write(client, bodyLater ? "body" : "");
+                    endpoint.awaitCall().respond("200 OK", "", "fine");
+                    assertThat(readMessage(client).body()).as(cookie).isEqualTo("fine");
+                    assertThat(isClosedByPeer(client)).as("closed when idle").isTrue();
+                }
+            }
+        }
+        assertStopsCleanly();
+    }
+
     @Test
     void rejectsOversizedBodyBeforeItIsComplete() throws Exception {
         startRelay();
--- a/src/test/java/gatelock/standin/FakeServer.java
+++ b/src/test/java/gatelock/standin/FakeServer.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
@@ -78,6 +79,11 @@
         listener.close();
     }
 
+    /** Returns the address on which the server listens. */
+    public InetSocketAddress socketAddress() {
+        return (InetSocketAddress) listener.getLocalSocketAddress();
+    }
+
     /** Returns the host and port on which the server listens. */
     public String address() {
         return "127.0.0.1:" + listener.getLocalPort();
