Admit each request to the pools of the version that its head matched

Change: the pool and its fallbacks come from the matching version, as definitions; the active version lends its recent peak only to a pool that it defines in the same way.

--- a/src/main/java/gatelock/config/Admission.java
+++ b/src/main/java/gatelock/config/Admission.java
@@ -68,8 +68,11 @@
     /** A request bound to the version that matched it: its hold on the limits, and the constraints on its attempts. */
     public final class RoutedRequest implements RequestConstraints {
         private final MatchedRoute matchedRoute;
-        /** The pool that serves the request, chosen on arrival; null if all endpoints may serve it. */
-        private final String pool;
+        /**
+         * The pool that serves the request, chosen on arrival among the pools of the version that matched it; null if
+         * all endpoints may serve it.
+         */
+        private final Pool pool;
 
         private final RetryPolicy retryPolicy;
         private final RetryBudget retryBudget;
@@ -79,8 +82,8 @@
         private RoutedRequest(long nowUs, MatchedRoute matchedRoute) {
             this.matchedRoute = matchedRoute;
             String configuredPool = matchedRoute.route.pool();
-            pool = configuredPool == null ? null : membership.servingPool(nowUs, configuredPool);
-            retryPolicy = matchedRoute.config.retryPolicy(matchedRoute.route, pool);
+            pool = configuredPool == null ? null : membership.servingPool(nowUs, matchedRoute.config, configuredPool);
+            retryPolicy = matchedRoute.config.retryPolicy(matchedRoute.route, pool == null ? null : pool.name());
             retryBudget = retryBudgets.computeIfAbsent(retryPolicy.name(), name -> new RetryBudget());
             retryBudget.recordRequest(nowUs);
         }
@@ -129,8 +132,8 @@
                 return true;
             }
             return matchedRoute.config == active
-                    ? membership.contains(pool, endpoint)
-                    : membership.matches(matchedRoute.config.pools().get(pool), endpoint);
+                    ? membership.contains(pool.name(), endpoint)
+                    : membership.matches(pool, endpoint);
         }
 
         @Override
@@ -281,7 +284,7 @@
     private Map<String, Object> poolState(long nowUs, String pool) {
         Map<String, Object> state = new LinkedHashMap<>();
         state.put("ready", membership.readyCount(pool));
-        state.put("served by", membership.servingPool(nowUs, pool));
+        state.put("served by", membership.servingPool(nowUs, active, pool).name());
         return state;
     }
 }
--- a/src/main/java/gatelock/config/PoolMembership.java
+++ b/src/main/java/gatelock/config/PoolMembership.java
@@ -163,22 +163,58 @@
         }
     }
 
-    /** Returns the pool that serves requests of the given pool: itself, or its first fallback with enough endpoints. */
-    String servingPool(long nowUs, String pool) {
-        List<String> chain = active.fallbackChain(pool);
-        for (String name : chain) {
-            PoolState state = pools.get(name);
-            if (!state.updateFallback(nowUs, readyBySelector[state.selectorIndex()])) {
-                return name;
+    /**
+     * Returns the pool that serves requests of the given pool: itself, or its first fallback with enough endpoints.
+     *
+     * @param nowUs the current time
+     * @param config the version that defines the pool and its fallbacks, which may be no longer active
+     * @param pool the name of the pool
+     */
+    Pool servingPool(long nowUs, CompiledConfig config, String pool) {
+        List<Pool> chain =
+                config.fallbackChain(pool).stream().map(config.pools()::get).toList();
+        for (Pool candidate : chain) {
+            if (hasEnoughEndpoints(nowUs, candidate)) {
+                return candidate;
             }
         }
         // No pool has enough: use the first in the chain with any ready endpoint, starting with the pool itself.
-        for (String name : chain) {
-            if (readyCount(name) > 0) {
-                return name;
+        for (Pool candidate : chain) {
+            if (readyCount(candidate) > 0) {
+                return candidate;
             }
         }
-        return pool;
+        return chain.get(0);
+    }
+
+    /**
+     * Returns whether a pool can serve its own requests. The recent peak is known only for pools that the active version
+     * defines in the same way; for others any ready endpoint is enough.
+     */
+    private boolean hasEnoughEndpoints(long nowUs, Pool pool) {
+        PoolState state = activeState(pool);
+        return state == null
+                ? readyCount(pool) > 0
+                : !state.updateFallback(nowUs, readyBySelector[state.selectorIndex()]);
+    }
+
+    /** Returns the state of a pool of any version, or null if the active version does not define it in the same way. */
+    private PoolState activeState(Pool pool) {
+        PoolState state = pools.get(pool.name());
+        return state != null && state.pool().equals(pool) ? state : null;
+    }
+
+    /** Returns the number of ready endpoints in a pool of any version. */
+    private int readyCount(Pool pool) {
+        PoolState state = activeState(pool);
+        if (state != null) {
+            return readyBySelector[state.selectorIndex()];
+        }
+        int ready = 0;
+        for (EndpointGroup group : groups.values()) {
+            ready += group.isSelectedBy(pool) ? group.readyCount : 0;
+        }
+        return ready;
     }
 
     /** Returns whether an endpoint belongs to a pool of the active version. */
--- a/src/test/java/gatelock/ConfigUpdateTest.java
+++ b/src/test/java/gatelock/ConfigUpdateTest.java
@@ -7,6 +7,7 @@
 
 import gatelock.standin.ControlService;
 import gatelock.standin.HttpMessage;
+import gatelock.standin.RawHttp;
 import gatelock.standin.RelayProcess;
 import gatelock.standin.RelayTestCase;
 import gatelock.standin.RelayUnderTest;
@@ -126,6 +127,38 @@
                 .isEqualTo("503");
     }
 
+    /** Guards against uploads that are never answered because a version renames their pool while their body arrives. */
+    @Test
+    void answersUploadsDuringWhichVersionRenamesTheirPool() throws Exception {
+        String version = "{\"format\": 1, \"by\": \"test\", \"note\": \"\", \"unmatched\": \"refuse\","
+                + " \"pools\": {\"%1$s\": {}}, \"routes\": [{\"name\": \"claims\", \"path\": \"/claim\","
+                + " \"class\": \"claim\", \"pool\": \"%1$s\"}]}";
+        control.publish(EPOCH, "a", 1, String.format(version, "payouts"));
+        start();
+        control.awaitReport(EPOCH + "/1");
+        try (Socket chunked = relay.connect();
+                Socket upload = relay.connect()) {
+            String head = "POST /claim HTTP/1.1\r\nHost: x\r\nX-Trace-Id: ";
+            RawHttp.write(upload, head + "u\r\nContent-Length: 8\r\n\r\nhalf");
+            RawHttp.write(chunked, head + "c\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n");
+            Thread.sleep(100);
+            control.publish(EPOCH, "a", 2, String.format(version, "claims-desk"));
+            assertThat(control.awaitReport(EPOCH + "/2")).containsEntry("accepted", true);
+            RawHttp.write(upload, "rest");
+            assertUploadServed(upload);
+            RawHttp.write(chunked, "4\r\nrest\r\n0\r\n\r\n");
+            assertUploadServed(chunked);
+        }
+        assertThat(relay.log()).doesNotContain("unexpected");
+    }
+
+    private void assertUploadServed(Socket client) throws Exception {
+        HttpMessage call = endpoint.awaitCall();
+        assertThat(call.body()).isEqualTo("halfrest");
+        call.respond("200 OK", "", "done");
+        assertThat(readMessage(client).body()).isEqualTo("done");
+    }
+
     @Test
     void reportsEachVersionThatArrivesOutOfOrderDuringTraffic() throws Exception {
         control.publish(EPOCH, "a", 10, versionText("first", 1_000_000));
--- a/src/test/java/gatelock/config/AdmissionTest.java
+++ b/src/test/java/gatelock/config/AdmissionTest.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -36,7 +37,7 @@
           {'name': 'w', 'path': '/west', 'class': 'read', 'pool': 'west'}]}
         """;
 
-    private final Admission admission = new Admission(0.5);
+    private Admission admission = new Admission(0.5);
     private long nowUs = SECOND;
 
     private static Endpoint endpoint(String name, int zone, Endpoint.Health health) {
@@ -55,9 +56,28 @@
                 Map.of("w0", Map.of("tier", "gold", "rack", "7")));
     }
 
+    private Admission.MatchedRoute match(String path) {
+        return admission.matchRoute(new RequestAttributes("GET", null, path, name -> null));
+    }
+
+    private Admission.RoutedRequest admit(Admission.MatchedRoute matchedRoute) {
+        return admission.admit(nowUs, matchedRoute, 0, nowUs + SECOND, NEVER_QUEUED);
+    }
+
     private Admission.RoutedRequest admit(String path) {
-        RequestAttributes request = new RequestAttributes("GET", null, path, name -> null);
-        return admission.admit(nowUs, admission.matchRoute(request), 0, nowUs + SECOND, NEVER_QUEUED);
+        return admit(match(path));
+    }
+
+    private static List<String> allowedEndpoints(Admission.RoutedRequest request) {
+        return Stream.of("e0", "e1", "w0", "w1").filter(request::allowsEndpoint).toList();
+    }
+
+    /** Activates a version with all endpoints ready, of which only some then remain. */
+    private void activateAnew(String version, int remainingEast) {
+        admission = new Admission(0.5);
+        setReadyEndpoints(10, 5);
+        admission.activate(nowUs, SampleConfigs.compileValid(version));
+        setReadyEndpoints(remainingEast, 5);
     }
 
     @Test
@@ -144,6 +164,41 @@
         assertThat(admit("/read").allowsEndpoint("w0")).isTrue();
     }
 
+    /**
+     * Guards against requests that are never answered because a version became active between their head and the end of
+     * their body, and the pools that they were matched with are looked up in that version.
+     */
+    @Test
+    void admitsRequestUnderMatchingVersionWhateverTheNextVersionsChange() {
+        List<String> versions = List.of(
+                POOLS,
+                POOLS.replace("east': {", "orient': {").replace("'pool': 'east'", "'pool': 'orient'"),
+                POOLS.replace("'fallback': 'gold'", "'fallback': 'west'"),
+                POOLS.replace("'fallback': 'gold', ", ""),
+                POOLS.replace("gold':", "silver':").replace("'fallback': 'gold'", "'fallback': 'silver'"),
+                POOLS.replace("'zones': ['east']", "'zones': ['west']"),
+                POOLS.replace("'retries': 'two'", "'limits': ['l']")
+                        .replace("'retries': {'two'", "'limits': {'l': {'ratePerS': 100}}, 'retries': {'two'"),
+                "{'format': 1, 'routes': [{'name': 'all', 'path': '/', 'class': 'read'}]}");
+        for (String matching : versions) {
+            for (int remainingEast : new int[] {10, 0}) {
+                activateAnew(matching, remainingEast);
+                List<String> expected = allowedEndpoints(admit("/read"));
+                for (String atAdmission : versions) {
+                    String description = remainingEast + " in the east, " + matching + "\nthen " + atAdmission;
+                    activateAnew(matching, remainingEast);
+                    Admission.MatchedRoute matchedRoute = match("/read");
+                    admission.activate(nowUs, SampleConfigs.compileValid(atAdmission));
+                    Admission.RoutedRequest request = admit(matchedRoute);
+                    assertThat(allowedEndpoints(request)).as(description).isEqualTo(expected);
+                    admission.activate(nowUs, SampleConfigs.compileValid(matching));
+                    assertThat(allowedEndpoints(request)).as(description).isEqualTo(expected);
+                    request.release(nowUs);
+                }
+            }
+        }
+    }
+
     @Test
     void rejectsVersionThatDropsTrafficOrTooManyEndpoints() {
         setReadyEndpoints(6, 4);
