Soak of faults: engine throws at random while versions change and clients leave

Need: the two faults of the review could come together in ways that no single test plays. Each request has to be answered once, with its own body or an error, within half a second of its deadline; nothing is left at the end.

--- a/src/test/java/gatelock/pipeline/FaultyEngine.java
+++ b/src/test/java/gatelock/pipeline/FaultyEngine.java
@@ -6,6 +6,7 @@
 import gatelock.api.RequestConstraints;
 import gatelock.api.RequestHandle;
 import gatelock.standin.FailingDecisionEngine;
+import java.util.SplittableRandom;
 
 /** A decision engine that sends each request once to the only endpoint, and throws where a test asks for it. */
 final class FaultyEngine implements FailingDecisionEngine {
@@ -31,6 +32,8 @@
 
     private final DecisionActions actions;
     private volatile Fault fault;
+    private volatile double faultRate;
+    private volatile SplittableRandom random;
 
     FaultyEngine(DecisionActions actions) {
         this.actions = actions;
@@ -41,8 +44,19 @@
         fault = newFault;
     }
 
+    /** Lets each call fail with this probability from now on. */
+    void setFaultRate(double probability, long seed) {
+        random = new SplittableRandom(seed);
+        faultRate = probability;
+    }
+
+    /** Returns whether the engine fails now. Called on the I/O thread only. */
+    private boolean fails(Fault expected) {
+        return fault == expected || (faultRate > 0 && random.nextDouble() < faultRate / Fault.values().length);
+    }
+
     private void failIf(Fault expected) {
-        if (fault == expected) {
+        if (fails(expected)) {
             throw new IllegalStateException("injected fault " + expected);
         }
     }
@@ -58,10 +72,13 @@
             long costUs,
             RequestConstraints constraints) {
         failIf(Fault.ACCEPT);
-        if (fault == Fault.ACCEPT_ERROR) {
+        if (fails(Fault.ACCEPT_ERROR)) {
             throw new AssertionError("injected fault");
         }
-        if (fault != Fault.NO_ANSWER) {
+        if (!constraints.allowsEndpoint(ENDPOINT)) {
+            throw new IllegalStateException("the only endpoint belongs to all pools that have one");
+        }
+        if (!fails(Fault.NO_ANSWER)) {
             actions.sendAttempt(id, ENDPOINT, 0);
         }
         failIf(Fault.ACCEPT_AFTER_ATTEMPT);
@@ -82,7 +99,7 @@
                 long nowUs, int attemptNo, AttemptResult result, long durationUs, boolean answered, LoadReport load) {
             failIf(Fault.ATTEMPT_ENDED);
             settled = true;
-            if (!answered && fault != Fault.LEAVING) {
+            if (!answered && !fails(Fault.LEAVING)) {
                 actions.failRequest(id);
             }
         }
