RequestLimiterTest: say plainly that no request stays in flight once all are released

The last assertion compared with a count that was always 0, by way of times an hour after the last request.

--- a/src/test/java/gatelock/config/RequestLimiterTest.java
+++ b/src/test/java/gatelock/config/RequestLimiterTest.java
@@ -41,7 +41,6 @@
         private final RequestLimiter.Decision decision;
         private int admitted;
         private int shed;
-        private long notifiedUs;
 
         Request(RequestLimiter limiter, long nowUs, int tenant, LimitPolicy... limits) {
             this.submittedUs = nowUs;
@@ -53,13 +52,11 @@
         @Override
         public void onAdmitted(long nowUs) {
             admitted++;
-            notifiedUs = nowUs;
         }
 
         @Override
         public void onShed(long nowUs, long retryAfterUs) {
             shed++;
-            notifiedUs = nowUs;
             assertThat(retryAfterUs).isPositive();
         }
 
@@ -244,16 +241,6 @@
         }
         limiter.processQueues(nowUs + 60 * SECOND);
         assertThat(limiter.queuedCount()).isZero();
-        assertThat(limiter.inFlight("l0")).isEqualTo((int) all.stream()
-                .filter(r -> r.notifiedUs > anHourAfter(unreleased) && r.admitted == 1)
-                .count());
-    }
-
-    private static long anHourAfter(List<Request> unreleased) {
-        return unreleased.stream()
-                        .mapToLong(r -> Math.max(r.notifiedUs, r.submittedUs))
-                        .max()
-                        .orElse(0)
-                + 3600 * SECOND;
+        assertThat(limiter.inFlight("l0")).as("all requests were released").isZero();
     }
 }
