Send the opening of a session as an ordinary attempt, with its target as the client wrote it

Cause: OpeningHandshake gave the target as a URI to the client library, which writes its decoded path and query into the request line. On the same path an opening kept only five headers of the client, stayed out after its timeout (a cancelled future does not close the socket) and was sent without the check that ordinary attempts make before their first byte, so also for a client that had left.

Change: openings go through AttemptSender. OutboundConnection sends the request's own head with the headers of the handshake appended, and hands the connection over after 101. Undertow still makes the key and checks the response. An opening that is turned away with X-Never-Ran counts as turned away.

--- a/src/main/java/gatelock/boot/RequestPipeline.java
+++ b/src/main/java/gatelock/boot/RequestPipeline.java
@@ -116,7 +116,7 @@
         requestReader = new RequestReader(counters, names, eventLoop, admitter, clientListener, failures, admission);
         if (sessions != null) {
             requestReader.setSessionUpgrade(
-                    new WebSocketUpgrader(eventLoop, counters, outcomes, failures, engine, sessions));
+                    new WebSocketUpgrader(eventLoop, counters, attemptSender, engine, sessions));
         }
     }
 
--- a/src/main/java/gatelock/http/ForwardedRequestHead.java
+++ b/src/main/java/gatelock/http/ForwardedRequestHead.java
@@ -2,6 +2,7 @@
 
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderValues;
+import io.undertow.util.HttpString;
 import java.nio.charset.StandardCharsets;
 
 /** Builds the head of a request as it is forwarded to endpoints. */
@@ -17,9 +18,10 @@
      *
      * @param exchange the request
      * @param bodyLength the length of its body, which is always forwarded with a Content-Length
+     * @param opensSession whether it opens a session; then the headers of its opening handshake are left out, too
      * @return the bytes, without the headers that differ between attempts and without the empty line at the end
      */
-    static byte[] of(HttpServerExchange exchange, int bodyLength) {
+    static byte[] of(HttpServerExchange exchange, int bodyLength, boolean opensSession) {
         StringBuilder head = new StringBuilder(INITIAL_CAPACITY);
         head.append(exchange.getRequestMethod()).append(' ').append(exchange.getRequestURI());
         if (!exchange.getQueryString().isEmpty()) {
@@ -27,12 +29,11 @@
         }
         head.append(" HTTP/1.1").append(LINE_END);
         for (HeaderValues values : exchange.getRequestHeaders()) {
-            if (!RequestHeaders.NOT_FORWARDED.contains(values.getHeaderName())) {
+            HttpString name = values.getHeaderName();
+            boolean ofHandshake = opensSession && RequestHeaders.NOT_FORWARDED_FOR_SESSIONS.contains(name);
+            if (!ofHandshake && !RequestHeaders.NOT_FORWARDED.contains(name)) {
                 for (String value : values) {
-                    head.append(values.getHeaderName())
-                            .append(": ")
-                            .append(value)
-                            .append(LINE_END);
+                    head.append(name).append(": ").append(value).append(LINE_END);
                 }
             }
         }
--- a/src/main/java/gatelock/http/RequestHeaders.java
+++ b/src/main/java/gatelock/http/RequestHeaders.java
@@ -30,6 +30,13 @@
             Headers.EXPECT,
             EXPIRES_IN_MS);
 
+    /** Headers of the opening handshake of a session, which the relay makes with each side itself. */
+    static final Set<HttpString> NOT_FORWARDED_FOR_SESSIONS = Set.of(
+            Headers.SEC_WEB_SOCKET_KEY,
+            Headers.SEC_WEB_SOCKET_VERSION,
+            Headers.SEC_WEB_SOCKET_EXTENSIONS,
+            Headers.SEC_WEB_SOCKET_PROTOCOL);
+
     /** The maximum number of digits; the value fits an {@code int}. */
     static final int MAX_DIGITS = 9;
 
--- a/src/main/java/gatelock/http/RequestReader.java
+++ b/src/main/java/gatelock/http/RequestReader.java
@@ -213,10 +213,11 @@
         }
         HttpResponseSink responseSink = new HttpResponseSink(exchange, clientListener, admitter);
         long deadlineUs = deadlineUs(exchange, route);
-        byte[] head = ForwardedRequestHead.of(exchange, body.length);
+        boolean opensSession = isSessionRequest(exchange, matchedRoute);
+        byte[] head = ForwardedRequestHead.of(exchange, body.length, opensSession);
         InFlightRequest request = new InFlightRequest(id, head, body, deadlineUs, responseSink);
         responseSink.bind(request);
-        if (isSessionRequest(exchange, matchedRoute)) {
+        if (opensSession) {
             responseSink.setSessionHandover(upgrade.prepare(exchange, request, matchedRoute.sessionPolicy(), route));
         }
         RequestProfile profile = profile(exchange, route);
--- a/src/main/java/gatelock/net/ConnectionPool.java
+++ b/src/main/java/gatelock/net/ConnectionPool.java
@@ -89,7 +89,7 @@
     /** Sends one request on an idle or a new connection. The complete response has to arrive within the timeout. */
     public OutboundConnection send(
             InetSocketAddress address, ByteBuffer request, long timeoutUs, OutboundConnection.ResponseHandler handler) {
-        return send(address, new OutboundRequest(request, ResponseTimeouts.total(timeoutUs), null, handler));
+        return send(address, new OutboundRequest(request, ResponseTimeouts.total(timeoutUs), null, false, handler));
     }
 
     /** Sends one request on an idle or a new connection. The body of the response is consumed as it arrives. */
@@ -99,7 +99,7 @@
             ResponseTimeouts timeouts,
             BodyConsumer body,
             OutboundConnection.ResponseHandler handler) {
-        return send(address, new OutboundRequest(request, timeouts, body, handler));
+        return send(address, new OutboundRequest(request, timeouts, body, false, handler));
     }
 
     /** Sends one request on a new connection. The response may take any time and have any length. */
@@ -108,7 +108,17 @@
             ByteBuffer request,
             BodyConsumer body,
             OutboundConnection.ResponseHandler handler) {
-        return openConnection(address, new OutboundRequest(request, ResponseTimeouts.UNLIMITED, body, handler));
+        return openConnection(address, new OutboundRequest(request, ResponseTimeouts.UNLIMITED, body, false, handler));
+    }
+
+    /**
+     * Sends one request for another protocol on a new connection. If the server switches to it within the timeout, the
+     * connection leaves the pool and belongs to the handler.
+     */
+    public OutboundConnection openUpgrade(
+            InetSocketAddress address, ByteBuffer request, long timeoutUs, OutboundConnection.ResponseHandler handler) {
+        OutboundRequest upgrade = new OutboundRequest(request, ResponseTimeouts.total(timeoutUs), null, true, handler);
+        return openConnection(address, upgrade);
     }
 
     /**
--- a/src/main/java/gatelock/net/OutboundConnection.java
+++ b/src/main/java/gatelock/net/OutboundConnection.java
@@ -4,12 +4,15 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import org.xnio.Buffers;
 import org.xnio.IoFuture;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.StreamConnection;
 import org.xnio.XnioExecutor;
+import org.xnio.conduits.ConduitStreamSourceChannel;
+import org.xnio.conduits.PushBackStreamSourceConduit;
 
 /**
  * A connection that this relay opens, with at most one request at a time. It never sends a request twice, and it tracks
@@ -43,6 +46,14 @@
          */
         boolean onResponse(UpstreamResponse response);
 
+        /**
+         * Called when the server has switched to the protocol that the request asked for. The connection belongs to the
+         * handler from now on. What the server sent after the response is returned by the first reads.
+         */
+        default void onUpgrade(UpstreamResponse response, StreamConnection connection) {
+            throw new IllegalStateException("no other protocol was requested");
+        }
+
         /**
          * Called when the connection ended without a complete, well-formed response.
          *
@@ -158,7 +169,7 @@
         request = next;
         requestStartUs = eventLoop.nowUs();
         lastDataUs = 0;
-        reader = new ResponseReader(next.body(), pool.maxBodyBytes());
+        reader = new ResponseReader(next.body(), pool.maxBodyBytes(), next.acceptsUpgrade());
         requestWritten = false;
     }
 
@@ -277,10 +288,32 @@
             // request.
             throw new MalformedResponseException("response arrived before the request was completely sent");
         }
-        completeRequest(reader.isKeepAlive() && !in.hasRemaining());
+        if (reader.isUpgrade()) {
+            handOver(in);
+        } else {
+            completeRequest(reader.isKeepAlive() && !in.hasRemaining());
+        }
         return false;
     }
 
+    /** Passes the connection to the handler of its request, with the bytes that were read after the response. */
+    private void handOver(ByteBuffer unread) {
+        ConduitStreamSourceChannel source = connection.getSourceChannel();
+        source.suspendReads();
+        source.setReadListener(null);
+        connection.getSinkChannel().setWriteListener(null);
+        PushBackStreamSourceConduit conduit = new PushBackStreamSourceConduit(source.getConduit());
+        if (unread.hasRemaining()) {
+            ByteBuffer copy =
+                    ByteBuffer.allocate(unread.remaining()).put(unread).flip();
+            conduit.pushBack(Buffers.pooledWrapper(copy));
+        }
+        source.setConduit(conduit);
+        closed = true;
+        pool.remove(this);
+        detachRequest().handler().onUpgrade(reader.response(), connection);
+    }
+
     private void rejectResponse(MalformedResponseException e) {
         pool.reportMalformed(address, e);
         if (request != null) {
--- a/src/main/java/gatelock/net/ResponseReader.java
+++ b/src/main/java/gatelock/net/ResponseReader.java
@@ -26,6 +26,7 @@
     private static final int MAX_HEAD_BYTES = 16 * 1024;
 
     private static final int MAX_LENGTH_DIGITS = 12;
+    private static final int SWITCHING_PROTOCOLS = 101;
     private static final int DECIMAL = 10;
     private static final int HEXADECIMAL = 16;
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-5][0-9][0-9]( .*)?", Pattern.DOTALL);
@@ -44,6 +45,7 @@
 
     private final BodyConsumer consumer;
     private final int maxBodyBytes;
+    private final boolean acceptsUpgrade;
     private final ByteArrayOutputStream lineBuffer = new ByteArrayOutputStream(128);
     private final ByteArrayOutputStream body = new ByteArrayOutputStream(512);
     /** The names and values of the headers, alternating. */
@@ -60,10 +62,13 @@
      *
      * @param consumer receives the body as it arrives, or null to buffer it
      * @param maxBodyBytes the maximum length of a body that is buffered
+     * @param acceptsUpgrade whether the response may be a switch to another protocol; if not, such a response is
+     *     malformed
      */
-    ResponseReader(BodyConsumer consumer, int maxBodyBytes) {
+    ResponseReader(BodyConsumer consumer, int maxBodyBytes, boolean acceptsUpgrade) {
         this.consumer = consumer;
         this.maxBodyBytes = maxBodyBytes;
+        this.acceptsUpgrade = acceptsUpgrade;
     }
 
     /** Returns whether the response has been read completely. */
@@ -76,6 +81,13 @@
         return keepAlive;
     }
 
+    /**
+     * Returns whether the complete response is a switch to another protocol. What follows it belongs to that protocol.
+     */
+    boolean isUpgrade() {
+        return isComplete() && status == SWITCHING_PROTOCOLS;
+    }
+
     /** Returns the response, once it is complete. Its body is empty if it was passed to a consumer. */
     UpstreamResponse response() {
         return new UpstreamResponse(status, headers, body.toByteArray());
@@ -137,7 +149,7 @@
     private void onStatusLine(String text) throws MalformedResponseException {
         boolean matches = STATUS_LINE.matcher(text).matches();
         status = matches ? Integer.parseInt(text.substring(9, 12)) : 0;
-        if (status < 100 || status == 101) {
+        if (status < 100 || (status == SWITCHING_PROTOCOLS && !acceptsUpgrade)) {
             throw new MalformedResponseException("expected the status line of an HTTP/1.x response");
         }
         keepAlive = text.charAt(7) == '1';
@@ -181,6 +193,10 @@
     }
 
     private void onHeadersEnd() throws MalformedResponseException {
+        if (status == SWITCHING_PROTOCOLS) {
+            state = State.COMPLETE;
+            return;
+        }
         if (status < 200) {
             headers.clear();
             state = State.STATUS_LINE;
--- a/src/main/java/gatelock/pipeline/AttemptSender.java
+++ b/src/main/java/gatelock/pipeline/AttemptSender.java
@@ -10,6 +10,8 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.function.BiConsumer;
+import org.xnio.IoUtils;
+import org.xnio.StreamConnection;
 
 /** Fourth stage: sends an attempt on a connection that carries no other request, and determines its result. */
 public final class AttemptSender {
@@ -54,7 +56,29 @@
 
     /** Registers and sends an attempt. Without an address it ends as not connected. */
     void send(InFlightRequest request, String endpoint, InetSocketAddress address, long timeoutUs) {
-        Attempt attempt = new Attempt(request, endpoint);
+        start(new Attempt(request, endpoint, null), address, timeoutUs);
+    }
+
+    /**
+     * Registers and sends an attempt that asks an endpoint to switch to another protocol, on a connection of its own.
+     *
+     * @param request the request, whose head has none of the headers of the handshake
+     * @param endpoint the name of the endpoint
+     * @param address its address; null if it is no longer listed, in which case the attempt ends as not connected
+     * @param timeoutUs the timeout of the attempt, in microseconds; 0 to use the deadline of the request
+     * @param handshake receives the connection if the endpoint switches protocols
+     */
+    public void sendUpgrade(
+            InFlightRequest request,
+            String endpoint,
+            InetSocketAddress address,
+            long timeoutUs,
+            UpgradeHandshake handshake) {
+        start(new Attempt(request, endpoint, handshake), address, timeoutUs);
+    }
+
+    private void start(Attempt attempt, InetSocketAddress address, long timeoutUs) {
+        InFlightRequest request = attempt.request;
         if (request.isCompleted() || eventLoop.nowUs() >= request.deadlineUs()) {
             attempt.end(AttemptResult.NOT_SENT, null);
         } else if (address == null) {
@@ -64,9 +88,10 @@
         }
     }
 
-    private static AttemptResult resultOf(UpstreamResponse response) {
+    private AttemptResult resultOf(Attempt attempt, UpstreamResponse response) {
         if (response.status() == OK) {
-            return AttemptResult.COMPLETED;
+            // The endpoint has answered, but it has not switched protocols.
+            return attempt.handshake == null ? AttemptResult.COMPLETED : AttemptResult.ERRORED;
         }
         boolean allowsNotExecuted = response.status() == SERVICE_UNAVAILABLE || response.status() == GATEWAY_TIMEOUT;
         boolean notExecuted = allowsNotExecuted && "1".equals(response.header(NOT_EXECUTED_HEADER));
@@ -77,6 +102,9 @@
     private final class Attempt implements OutboundConnection.ResponseHandler {
         private final InFlightRequest request;
         private final String endpoint;
+        /** The handshake of an attempt that asks for another protocol; null for an ordinary attempt. */
+        private final UpgradeHandshake handshake;
+
         private final int number;
         private final long sentUs = eventLoop.nowUs();
         private OutboundConnection connection;
@@ -85,29 +113,36 @@
         /** Whether the decision engine withdrew the attempt before its first byte was sent. */
         private boolean withdrawn;
 
-        Attempt(InFlightRequest request, String endpoint) {
+        Attempt(InFlightRequest request, String endpoint, UpgradeHandshake handshake) {
             this.request = request;
             this.endpoint = endpoint;
+            this.handshake = handshake;
             this.number = request.addAttempt(this::cancel);
         }
 
         private void begin(InetSocketAddress address, long timeoutUs) {
             long remainingUs = request.deadlineUs() - sentUs;
             long attemptTimeoutUs = timeoutUs > 0 ? Math.min(timeoutUs, remainingUs) : remainingUs;
-            byte[] timeoutHeader = (TIMEOUT_HEADER + ": " + Math.max(1, attemptTimeoutUs / 1000) + "\r\n\r\n")
-                    .getBytes(StandardCharsets.ISO_8859_1);
-            // A single buffer, so that a request of typical size is sent with one write.
-            ByteBuffer message =
-                    ByteBuffer.allocate(request.head().length + timeoutHeader.length + request.body().length);
-            message.put(request.head()).put(timeoutHeader).put(request.body()).flip();
+            ByteBuffer message = message(attemptTimeoutUs);
             try {
-                connection = pool.send(address, message, attemptTimeoutUs, this);
+                connection = handshake == null
+                        ? pool.send(address, message, attemptTimeoutUs, this)
+                        : pool.openUpgrade(address, message, attemptTimeoutUs, this);
             } catch (RuntimeException | Error e) {
                 eventLoop.logUnexpected(e);
                 end(message.position() > 0 ? AttemptResult.BROKEN_OFF : AttemptResult.NOT_CONNECTED, null);
             }
         }
 
+        /** Returns the request in a single buffer, so that one of typical size is sent with one write. */
+        private ByteBuffer message(long timeoutUs) {
+            String headers = TIMEOUT_HEADER + ": " + Math.max(1, timeoutUs / 1000) + "\r\n"
+                    + (handshake == null ? "" : handshake.headers()) + "\r\n";
+            byte[] headEnd = headers.getBytes(StandardCharsets.ISO_8859_1);
+            ByteBuffer message = ByteBuffer.allocate(request.head().length + headEnd.length + request.body().length);
+            return message.put(request.head()).put(headEnd).put(request.body()).flip();
+        }
+
         /**
          * Closes the connection, which tells the endpoint that its response is no longer needed, and reports the end of
          * the attempt after a delay. Without the delay, another endpoint could read a retry before this endpoint reads
@@ -136,8 +171,23 @@
 
         @Override
         public boolean onResponse(UpstreamResponse response) {
-            end(resultOf(response), response);
-            return true;
+            end(resultOf(this, response), response);
+            return handshake == null;
+        }
+
+        @Override
+        public void onUpgrade(UpstreamResponse response, StreamConnection upgraded) {
+            if (request.isCompleted()) {
+                IoUtils.safeClose(upgraded);
+                end(AttemptResult.CANCELLED, null);
+                return;
+            }
+            boolean accepted = false;
+            try {
+                accepted = handshake.complete(response, upgraded);
+            } finally {
+                end(accepted ? AttemptResult.COMPLETED : AttemptResult.ERRORED, response);
+            }
         }
 
         @Override
--- a/src/main/java/gatelock/websocket/OpeningHandshake.java
+++ b/src/main/java/gatelock/websocket/OpeningHandshake.java
@@ -1,144 +1,89 @@
 package gatelock.websocket;
 
-import gatelock.api.AttemptResult;
-import gatelock.net.EventLoop;
-import gatelock.state.InFlightRequest;
+import gatelock.pipeline.UpgradeHandshake;
 import gatelock.state.UpstreamResponse;
-import io.undertow.websockets.client.WebSocketClient;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.websockets.client.WebSocketClientHandshake;
 import io.undertow.websockets.client.WebSocketClientNegotiation;
 import io.undertow.websockets.core.WebSocketChannel;
+import io.undertow.websockets.core.WebSocketVersion;
 import java.io.IOException;
-import java.net.ConnectException;
-import java.net.InetSocketAddress;
+import java.lang.System.Logger.Level;
 import java.net.URI;
-import java.net.URISyntaxException;
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
-import java.util.function.Consumer;
-import org.xnio.IoFuture;
+import java.util.Set;
+import java.util.function.BiConsumer;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
-import org.xnio.Options;
-import org.xnio.XnioExecutor;
+import org.xnio.StreamConnection;
 
-/** One attempt to open a session: an opening handshake with an endpoint, for which exactly one result is recorded. */
-final class OpeningHandshake {
-    private static final int SWITCHING_PROTOCOLS = 101;
+/**
+ * The relay's side of an opening handshake with an endpoint (RFC 6455, 4.1). The request line and the client's headers
+ * are those of the request; only the headers of the handshake itself are the relay's own.
+ */
+final class OpeningHandshake implements UpgradeHandshake {
+    private static final System.Logger LOG = System.getLogger("gatelock.websocket");
+    /** Undertow needs a URI, but neither sends nor checks it. */
+    private static final URI UNUSED_URI = URI.create("ws://endpoint/");
 
-    private final SessionContext context;
-    private final EventLoop loop;
-    private final InFlightRequest request;
-    private final String endpointName;
-    private final Consumer<OpenedEndpoint> onOpened;
-    private final int attemptNo;
-    private final long startUs;
-    private IoFuture<WebSocketChannel> connection;
-    private XnioExecutor.Key timeout;
-    private boolean ended;
+    private final ByteBufferPool buffers;
+    private final BiConsumer<WebSocketChannel, String> onOpened;
+    private final WebSocketClientNegotiation negotiation;
+    private final WebSocketClientHandshake handshake;
+    private final Map<String, String> headers;
 
     /**
-     * Registers the attempt with its request.
+     * Creates a handshake with a key of its own.
      *
-     * @param onOpened called after a successful handshake, before the result is recorded
+     * @param buffers the buffers of the connection after the handshake
+     * @param subprotocols the subprotocols that the endpoint is offered
+     * @param onOpened receives the channel and the selected subprotocol, which is null if there is none
      */
-    OpeningHandshake(
-            SessionContext context, InFlightRequest request, String endpointName, Consumer<OpenedEndpoint> onOpened) {
-        this.context = context;
-        this.loop = context.loop();
-        this.request = request;
-        this.endpointName = endpointName;
+    OpeningHandshake(ByteBufferPool buffers, List<String> subprotocols, BiConsumer<WebSocketChannel, String> onOpened) {
+        this.buffers = buffers;
         this.onOpened = onOpened;
-        this.startUs = loop.nowUs();
-        this.attemptNo = request.addAttempt(() -> end(AttemptResult.CANCELLED));
+        this.negotiation = new WebSocketClientNegotiation(subprotocols, List.of());
+        this.handshake = WebSocketClientHandshake.create(WebSocketVersion.V13, UNUSED_URI, negotiation, Set.of());
+        this.headers = handshake.createHeaders();
     }
 
-    /**
-     * Begins the handshake.
-     *
-     * @param address the endpoint's address, or null if no connection to the endpoint can be made
-     * @param timeoutUs timeout of the attempt, which never exceeds the request's remaining time; 0 for that time
-     */
-    void start(HandshakeRequest handshakeRequest, InetSocketAddress address, long timeoutUs) {
-        long remainingUs = request.deadlineUs() - startUs;
-        if (request.isCompleted() || remainingUs <= 0) {
-            end(AttemptResult.NOT_SENT);
-            return;
-        }
-        if (address == null) {
-            end(AttemptResult.NOT_CONNECTED);
-            return;
-        }
-        URI uri;
-        try {
-            uri = handshakeRequest.uri(address);
-        } catch (URISyntaxException e) {
-            end(AttemptResult.NOT_SENT);
-            return;
-        }
-        long attemptTimeoutUs = timeoutUs > 0 ? Math.min(timeoutUs, remainingUs) : remainingUs;
-        timeout = loop.schedule(
-                attemptTimeoutUs, () -> context.failures().run(request, () -> end(AttemptResult.TIMED_OUT)));
-        connect(handshakeRequest, uri);
+    @Override
+    public String headers() {
+        StringBuilder lines = new StringBuilder();
+        headers.forEach(
+                (name, value) -> lines.append(name).append(": ").append(value).append("\r\n"));
+        return lines.toString();
     }
 
-    private void connect(HandshakeRequest handshakeRequest, URI uri) {
-        WebSocketClientNegotiation negotiation =
-                new WebSocketClientNegotiation(handshakeRequest.subprotocols(), List.of()) {
-                    @Override
-                    public void beforeRequest(Map<String, List<String>> headers) {
-                        headers.putAll(handshakeRequest.headers());
-                    }
-                };
-        connection = WebSocketClient.connectionBuilder(loop.ioThread().getWorker(), context.buffers(), uri)
-                .setOptionMap(OptionMap.create(Options.TCP_NODELAY, true))
-                .setClientNegotiation(negotiation)
-                .connect();
-        connection.addNotifier(
-                new IoFuture.HandlingNotifier<WebSocketChannel, Void>() {
-                    @Override
-                    public void handleDone(WebSocketChannel channel, Void attachment) {
-                        execute(() -> connected(channel, negotiation.getSelectedSubProtocol()));
-                    }
-
-                    @Override
-                    public void handleFailed(IOException failure, Void attachment) {
-                        boolean refused = failure instanceof ConnectException;
-                        execute(() -> end(refused ? AttemptResult.NOT_CONNECTED : AttemptResult.ERRORED));
-                    }
-                },
-                null);
-    }
-
-    private void execute(Runnable step) {
-        loop.execute(() -> context.failures().run(request, step));
-    }
-
-    private void connected(WebSocketChannel channel, String selectedSubprotocol) {
-        if (ended || request.isCompleted()) {
-            IoUtils.safeClose(channel);
-            end(AttemptResult.CANCELLED);
-            return;
+    @Override
+    public boolean complete(UpstreamResponse response, StreamConnection connection) {
+        try {
+            Map<String, List<String>> sent = new HashMap<>();
+            headers.forEach((name, value) -> sent.put(name, List.of(value)));
+            handshake.handshakeChecker(UNUSED_URI, sent).checkHandshakeExtended(headersOf(response));
+        } catch (IOException | RuntimeException e) {
+            LOG.log(Level.DEBUG, () -> "opening handshake failed: " + e.getMessage());
+            IoUtils.safeClose(connection);
+            return false;
         }
-        boolean noneSelected = selectedSubprotocol == null || selectedSubprotocol.isEmpty();
-        onOpened.accept(new OpenedEndpoint(endpointName, channel, noneSelected ? null : selectedSubprotocol));
-        end(AttemptResult.COMPLETED);
+        WebSocketChannel channel = handshake.createChannel(connection, UNUSED_URI.toString(), buffers, OptionMap.EMPTY);
+        String selected = negotiation.getSelectedSubProtocol();
+        onOpened.accept(channel, selected == null || selected.isEmpty() ? null : selected);
+        return true;
     }
 
-    /** Records the result of the attempt. Later calls have no effect. */
-    private void end(AttemptResult result) {
-        if (ended) {
-            return;
-        }
-        ended = true;
-        if (timeout != null) {
-            timeout.remove();
-        }
-        boolean completed = result == AttemptResult.COMPLETED;
-        if (connection != null && !completed) {
-            connection.cancel();
+    /** Returns the headers of a response by their names in lower case, as Undertow expects them. */
+    private static Map<String, List<String>> headersOf(UpstreamResponse response) {
+        Map<String, List<String>> byName = new HashMap<>();
+        for (int i = 0; i < response.headers().size(); i += 2) {
+            String name = response.headers().get(i).toLowerCase(Locale.ROOT);
+            byName.computeIfAbsent(name, n -> new ArrayList<>())
+                    .add(response.headers().get(i + 1));
         }
-        UpstreamResponse response =
-                completed ? new UpstreamResponse(SWITCHING_PROTOCOLS, List.of(), new byte[0]) : null;
-        context.recorder().attemptEnded(request, attemptNo, result, loop.nowUs() - startUs, response);
+        return byName;
     }
 }
--- a/src/main/java/gatelock/websocket/SessionContext.java
+++ b/src/main/java/gatelock/websocket/SessionContext.java
@@ -2,8 +2,7 @@
 
 import gatelock.api.DecisionEngine;
 import gatelock.net.EventLoop;
-import gatelock.pipeline.OutcomeRecorder;
-import gatelock.pipeline.RequestFailureHandler;
+import gatelock.pipeline.AttemptSender;
 import gatelock.session.SessionRegistry;
 import gatelock.state.Counters;
 import io.undertow.connector.ByteBufferPool;
@@ -13,8 +12,7 @@
  *
  * @param loop the event loop of the only I/O thread
  * @param counters the relay's counters
- * @param recorder records the results of opening handshakes
- * @param failures ends requests whose opening handshake fails with an exception
+ * @param attempts sends opening handshakes to endpoints
  * @param engine decides whether a message may be forwarded to its endpoint
  * @param sessions all sessions of the relay
  * @param buffers buffer pool for the connections to endpoints
@@ -22,8 +20,7 @@
 record SessionContext(
         EventLoop loop,
         Counters counters,
-        OutcomeRecorder recorder,
-        RequestFailureHandler failures,
+        AttemptSender attempts,
         DecisionEngine engine,
         SessionRegistry sessions,
         ByteBufferPool buffers) {}
--- a/src/main/java/gatelock/websocket/SessionOpening.java
+++ b/src/main/java/gatelock/websocket/SessionOpening.java
@@ -21,29 +21,36 @@
     private final InFlightRequest request;
     private final SessionPolicy policy;
     private final int route;
-    private final HandshakeRequest handshakeRequest;
+    private final List<String> subprotocols;
     private OpenedEndpoint opened;
     /** Releases the session's share of its route's limits. */
     private Runnable onFinished;
 
-    /** Creates the opening of a session on a route with this index. */
+    /**
+     * Creates the opening of a session on a route with this index.
+     *
+     * @param subprotocols the subprotocols that endpoints are offered
+     */
     SessionOpening(
             SessionContext context,
             InFlightRequest request,
             SessionPolicy policy,
             int route,
-            HandshakeRequest handshakeRequest) {
+            List<String> subprotocols) {
         this.context = context;
         this.request = request;
         this.policy = policy;
         this.route = route;
-        this.handshakeRequest = handshakeRequest;
+        this.subprotocols = subprotocols;
     }
 
     @Override
     public void launch(InetSocketAddress address, String endpointName, long timeoutUs) {
-        new OpeningHandshake(context, request, endpointName, this::endpointOpened)
-                .start(handshakeRequest, address, timeoutUs);
+        OpeningHandshake handshake = new OpeningHandshake(
+                context.buffers(),
+                subprotocols,
+                (channel, subprotocol) -> endpointOpened(new OpenedEndpoint(endpointName, channel, subprotocol)));
+        context.attempts().sendUpgrade(request, endpointName, address, timeoutUs, handshake);
     }
 
     private void endpointOpened(OpenedEndpoint endpoint) {
--- a/src/main/java/gatelock/websocket/WebSocketUpgrader.java
+++ b/src/main/java/gatelock/websocket/WebSocketUpgrader.java
@@ -4,18 +4,21 @@
 import gatelock.config.SessionPolicy;
 import gatelock.http.RequestReader;
 import gatelock.net.EventLoop;
-import gatelock.pipeline.OutcomeRecorder;
-import gatelock.pipeline.RequestFailureHandler;
+import gatelock.pipeline.AttemptSender;
 import gatelock.session.SessionRegistry;
 import gatelock.state.Counters;
 import gatelock.state.InFlightRequest;
 import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
+import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import io.undertow.util.StatusCodes;
+import java.util.Arrays;
+import java.util.List;
 import java.util.Locale;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.regex.Pattern;
 
@@ -42,23 +45,20 @@
      *
      * @param loop the event loop of the only I/O thread
      * @param counters the relay's counters
-     * @param recorder records the results of opening handshakes
-     * @param failures ends requests whose opening handshake fails with an exception
+     * @param attempts sends opening handshakes to endpoints
      * @param engine decides whether a message may be forwarded to its endpoint
      * @param sessions all sessions of the relay
      */
     public WebSocketUpgrader(
             EventLoop loop,
             Counters counters,
-            OutcomeRecorder recorder,
-            RequestFailureHandler failures,
+            AttemptSender attempts,
             DecisionEngine engine,
             SessionRegistry sessions) {
         this.context = new SessionContext(
                 loop,
                 counters,
-                recorder,
-                failures,
+                attempts,
                 engine,
                 sessions,
                 new DefaultByteBufferPool(true, BUFFER_BYTES, MAX_POOLED_BUFFERS, 0, 0));
@@ -99,9 +99,22 @@
     @Override
     public Consumer<HttpServerExchange> prepare(
             HttpServerExchange exchange, InFlightRequest request, SessionPolicy policy, int route) {
-        HandshakeRequest handshakeRequest = HandshakeRequest.of(exchange, policy.subprotocols());
-        SessionOpening opening = new SessionOpening(context, request, policy, route, handshakeRequest);
+        List<String> subprotocols = offeredSubprotocols(exchange, policy.subprotocols());
+        SessionOpening opening = new SessionOpening(context, request, policy, route, subprotocols);
         request.setAttemptLauncher(opening);
         return opening::answerClient;
     }
+
+    /** Returns the subprotocols that the client offers and the route permits, in the client's order. */
+    private static List<String> offeredSubprotocols(HttpServerExchange exchange, Set<String> permitted) {
+        HeaderValues values = exchange.getRequestHeaders().get(Headers.SEC_WEB_SOCKET_PROTOCOL);
+        if (values == null) {
+            return List.of();
+        }
+        return values.stream()
+                .flatMap(value -> Arrays.stream(value.split(",", -1)))
+                .map(String::trim)
+                .filter(permitted::contains)
+                .toList();
+    }
 }
--- a/src/test/java/gatelock/WebSocketTestCase.java
+++ b/src/test/java/gatelock/WebSocketTestCase.java
@@ -6,6 +6,7 @@
 import gatelock.standin.RelayTestCase;
 import gatelock.standin.WebSocketEndpoint;
 import gatelock.standin.WebSocketPeer;
+import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import org.junit.jupiter.api.AfterEach;
@@ -33,7 +34,7 @@
         control = new ControlService();
         webSocketEndpoint = new WebSocketEndpoint();
         relay.writeConfig(relay.configText()
-                .replace(endpoint.address(), webSocketEndpoint.address())
+                .replace(endpoint.address(), listedEndpoint())
                 .replace("\"deadlineNs\": 1000000000", "\"deadlineNs\": 2500000000"));
         control.publish(1, "s", 1, CONFIG_VERSION);
         Path operator = directory.resolve("operator.json");
@@ -46,6 +47,11 @@
         control.awaitReport("1/1");
     }
 
+    /** Returns the address of the endpoint that the relay sends all requests to. */
+    protected String listedEndpoint() throws IOException {
+        return webSocketEndpoint.address();
+    }
+
     @AfterEach
     final void stopServers() throws Exception {
         webSocketEndpoint.close();
--- a/src/test/java/gatelock/net/ResponseReaderTest.java
+++ b/src/test/java/gatelock/net/ResponseReaderTest.java
@@ -23,7 +23,7 @@
     }
 
     private static ResponseReader read(String text) throws MalformedResponseException {
-        ResponseReader reader = new ResponseReader(null, MAX_BODY_BYTES);
+        ResponseReader reader = new ResponseReader(null, MAX_BODY_BYTES, false);
         reader.read(bytes(text));
         return reader;
     }
@@ -42,7 +42,7 @@
             })
     void parsesIdenticallyForEverySplitOffset(String text) throws Exception {
         for (int offset = 0; offset <= text.length(); offset++) {
-            ResponseReader reader = new ResponseReader(null, MAX_BODY_BYTES);
+            ResponseReader reader = new ResponseReader(null, MAX_BODY_BYTES, false);
             reader.read(bytes(text.substring(0, offset)));
             assertThat(reader.isComplete()).as("split at offset " + offset).isEqualTo(offset == text.length());
             reader.read(bytes(text.substring(offset)));
@@ -98,7 +98,7 @@
     @Test
     void leavesBytesAfterTheResponseUnread() throws Exception {
         ByteBuffer in = bytes("HTTP/1.1 204 No Content\r\n\r\nmore");
-        ResponseReader reader = new ResponseReader(null, MAX_BODY_BYTES);
+        ResponseReader reader = new ResponseReader(null, MAX_BODY_BYTES, false);
         reader.read(in);
         assertThat(reader.isComplete()).isTrue();
         assertThat(in.remaining()).isEqualTo(4);
@@ -142,7 +142,8 @@
                         received.writeBytes(piece);
                     }
                 },
-                MAX_BODY_BYTES);
+                MAX_BODY_BYTES,
+                false);
         reader.read(bytes("HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n123456"));
         assertThat(declared[0]).isEqualTo(12);
         assertThat(received.toString(StandardCharsets.US_ASCII)).isEqualTo("123456");
--- a/src/test/java/gatelock/standin/WebSocketEndpoint.java
+++ b/src/test/java/gatelock/standin/WebSocketEndpoint.java
@@ -31,6 +31,7 @@
 
     private final ServerSocket listener = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
     private final List<Received> received = new CopyOnWriteArrayList<>();
+    private final List<HttpMessage> requests = new CopyOnWriteArrayList<>();
     private final BlockingQueue<WebSocketPeer> openedSessions = new LinkedBlockingQueue<>();
     private final List<Socket> sockets = new CopyOnWriteArrayList<>();
     private volatile boolean rejectsRequests;
@@ -68,6 +69,11 @@
         echoesMessages = false;
     }
 
+    /** Returns all requests so far, opening handshakes included. */
+    public List<HttpMessage> requests() {
+        return requests;
+    }
+
     /** Returns all events so far. */
     public List<Received> received() {
         return received;
@@ -89,6 +95,7 @@
             if (request == null) {
                 return;
             }
+            requests.add(request);
             if (rejectsRequests) {
                 request.respond("503 No", "X-Never-Ran: 1\r\n", "");
                 socket.close();
