Forward the head of each request as the client wrote it, or refuse it

Cause: the forwarded head was put together again from what Undertow had parsed.

Change: ClientReadConduit passes a head to Undertow only once it is complete and keeps it as it came; ForwardedRequestHead copies its lines. A head that is not of the form of RFC 9112 is refused with 400. Undertow gets the head without its query, which it would turn into a map. What Undertow reads behind a chunked body is taken back, so the next head is found. The cookie with the key is parsed without keeping all other cookies with the exchange.

--- a/src/main/java/gatelock/http/ClientListener.java
+++ b/src/main/java/gatelock/http/ClientListener.java
@@ -7,6 +7,7 @@
 import gatelock.state.ClientSockets;
 import gatelock.state.Counters;
 import io.undertow.UndertowOptions;
+import io.undertow.connector.PooledByteBuffer;
 import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
@@ -38,7 +39,6 @@
 
     private static final int BUFFER_BYTES = 4096;
     private static final int MAX_POOLED_BUFFERS = 200;
-    private static final int MAX_HEAD_BYTES = 16 * 1024;
     private static final int ACCEPT_BACKLOG = 256;
     /** The number of connections that are accepted beyond the hard limit, so that eviction can make room for them. */
     private static final int ACCEPT_MARGIN = 8;
@@ -113,9 +113,7 @@
      */
     public InetSocketAddress listen(InetSocketAddress address) throws IOException {
         OptionMap httpOptions = OptionMap.builder()
-                .set(UndertowOptions.MAX_HEADER_SIZE, MAX_HEAD_BYTES)
-                // The size of the head is the only limit for the number of cookies.
-                .set(UndertowOptions.MAX_COOKIES, MAX_HEAD_BYTES)
+                .set(UndertowOptions.MAX_HEADER_SIZE, ReadAheadBuffer.MAX_BYTES)
                 .set(UndertowOptions.ALWAYS_SET_DATE, false)
                 .set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
                 .getMap();
@@ -195,6 +193,17 @@
     }
 
     private void handleRequest(HttpServerExchange exchange) throws Exception {
+        ClientReadConduit readConduit = readConduits.get(connectionOf(exchange));
+        exchange.addExchangeCompleteListener((completed, next) -> {
+            readConduit.awaitHead();
+            next.proceed();
+        });
+        RequestHead head = readConduit.head();
+        if (head == null || !head.isWellFormed()) {
+            exchange.setPersistent(false);
+            reject(exchange, StatusCodes.BAD_REQUEST);
+            return;
+        }
         String path = exchange.getRequestPath();
         if (path.startsWith(INTERNAL_PREFIX)) {
             exchange.setStatusCode(healthStatus(path));
@@ -216,6 +225,33 @@
         };
     }
 
+    /** Returns the head of a request as the client wrote it. */
+    RequestHead headOf(HttpServerExchange exchange) {
+        return readConduits.get(connectionOf(exchange)).head();
+    }
+
+    /**
+     * Returns whether the client of a request that waits for its response is still connected. All that has arrived from
+     * it is read for that. A client that sends more than is read ahead counts as gone, as its close would not be seen.
+     */
+    boolean isClientConnected(HttpServerExchange exchange) {
+        ClientReadConduit readConduit = readConduits.get(connectionOf(exchange));
+        return readConduit != null && readConduit.readAhead() == ClientPresence.CONNECTED;
+    }
+
+    /**
+     * Takes back what Undertow has read behind a chunked body, so that it is read as the next request.
+     */
+    void takeBackOverread(HttpServerExchange exchange) {
+        HttpServerConnection connection = (HttpServerConnection) exchange.getConnection();
+        PooledByteBuffer overread = connection.getExtraBytes();
+        if (overread != null) {
+            connection.setExtraBytes(null);
+            readConduits.get(connection.getChannel()).unread(overread.getBuffer());
+            overread.close();
+        }
+    }
+
     /** Called when a request has been read completely. Its connection stays open until the response is written. */
     void requestCompleted(HttpServerExchange exchange) {
         connections.requestCompleted(connectionOf(exchange));
@@ -229,7 +265,8 @@
         StreamConnection connection = connectionOf(exchange);
         connections.responseStarted(eventLoop.nowUs(), connection);
         exchange.addExchangeCompleteListener((completed, next) -> {
-            boolean pipelined = ((HttpServerConnection) completed.getConnection()).getExtraBytes() != null;
+            ClientReadConduit readConduit = readConduits.get(connection);
+            boolean pipelined = readConduit != null && readConduit.hasBufferedBytes();
             connections.responseWritten(eventLoop.nowUs(), connection, pipelined);
             next.proceed();
         });
@@ -241,7 +278,9 @@
 
     /** Called when a connection has been upgraded to another protocol. The listener does not limit it any more. */
     void connectionUpgraded(HttpServerExchange exchange) {
-        connections.remove(connectionOf(exchange));
+        StreamConnection connection = connectionOf(exchange);
+        readConduits.get(connection).upgrade();
+        connections.remove(connection);
     }
 
     /** Called when the client has closed its connection or aborted its own request. */
--- a/src/main/java/gatelock/http/ClientReadConduit.java
+++ b/src/main/java/gatelock/http/ClientReadConduit.java
@@ -3,63 +3,155 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
+import org.xnio.IoUtils;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.conduits.AbstractStreamSourceConduit;
+import org.xnio.conduits.ConduitReadableByteChannel;
 import org.xnio.conduits.StreamSourceConduit;
 
 /**
- * Reads the bytes of one client, below the conduits of Undertow. Reports each read that returned bytes, and can check
- * for unread bytes without losing them.
+ * Reads the bytes of one client, below the conduits of Undertow. Passes a head on only once it is complete, and keeps it
+ * as the client wrote it; until then a slow client costs no more than the bytes that it has sent. Reads ahead while a
+ * request waits for its response, which shows whether the client is still connected.
  */
 final class ClientReadConduit extends AbstractStreamSourceConduit<StreamSourceConduit> {
-    private static final int LOOKAHEAD_BYTES = 512;
+    /**
+     * The maximum number of reads from one client before the event loop handles others. It keeps a client that sends
+     * faster than the relay reads from occupying the thread.
+     */
+    private static final int MAX_READS_PER_ROUND = 4;
 
     private final Runnable readListener;
-    /** Bytes that have been read ahead but not consumed yet, or null. */
-    private ByteBuffer lookahead;
+    private final ReadAheadBuffer unread = new ReadAheadBuffer();
+    /** Whether the next bytes are those of a head that has not arrived completely. */
+    private boolean awaitsHead = true;
+
+    private boolean upgraded;
+    /** The end of the stream, or a broken connection, has been read. */
+    private boolean ended;
+    /** The head of the current request, or null if it was too long. */
+    private RequestHead head;
+    /** What is left to pass on of the current head. */
+    private ByteBuffer headForParser = ByteBuffer.allocate(0);
 
+    /** Creates a conduit for a new connection, on which a head comes first. */
     ClientReadConduit(StreamSourceConduit next, Runnable readListener) {
         super(next);
         this.readListener = readListener;
     }
 
+    /** Returns the head of the current request, or null if it was longer than the relay accepts. */
+    RequestHead head() {
+        return head;
+    }
+
+    /** Expects the head of the next request, unless the connection was upgraded to another protocol. */
+    void awaitHead() {
+        awaitsHead = !upgraded;
+    }
+
+    /** Passes on all further bytes as they are. */
+    void upgrade() {
+        upgraded = true;
+    }
+
+    /** Returns whether bytes have been read that nobody has consumed. */
+    boolean hasBufferedBytes() {
+        return headForParser.hasRemaining() || unread.size() > 0;
+    }
+
+    /** Puts back bytes that belong to the next request. */
+    void unread(ByteBuffer bytes) {
+        unread.unread(bytes);
+    }
+
     /**
-     * Returns whether there are unread bytes. If so, they are returned by the next read, and the read listener of
-     * Undertow is woken. The end of the stream and a broken connection count as no bytes.
+     * Returns whether there are unread bytes, which are read ahead for that. If so, the reader is woken for them. The
+     * end of the stream and a broken connection count as no bytes.
      */
     boolean hasUnreadBytes() {
-        if (lookahead != null) {
+        readAhead();
+        if (hasBufferedBytes()) {
+            next.wakeupReads();
             return true;
         }
-        ByteBuffer buffer = ByteBuffer.allocate(LOOKAHEAD_BYTES);
+        return false;
+    }
+
+    /** Reads ahead what has arrived, and returns whether the client is still connected. */
+    ClientPresence readAhead() {
         try {
-            if (next.read(buffer) <= 0) {
-                return false;
+            while (!ended && !unread.isFull() && readOnce() > 0) {
+                // Until all bytes that have arrived are read, the end of the stream is not seen.
             }
         } catch (IOException e) {
-            return false;
+            ended = true;
         }
-        lookahead = buffer.flip();
-        next.wakeupReads();
-        return true;
+        if (ended) {
+            return ClientPresence.LEFT;
+        }
+        return unread.isFull() ? ClientPresence.UNKNOWN : ClientPresence.CONNECTED;
+    }
+
+    private int readOnce() throws IOException {
+        int count = unread.readFrom(next);
+        if (count > 0) {
+            readListener.run();
+        } else if (count < 0) {
+            ended = true;
+        }
+        return count;
     }
 
     @Override
     public int read(ByteBuffer target) throws IOException {
-        int count = lookahead != null && target.hasRemaining() ? readLookahead(target) : next.read(target);
+        if (!target.hasRemaining()) {
+            return 0;
+        }
+        if (awaitsHead && !readHead()) {
+            return ended ? -1 : 0;
+        }
+        if (headForParser.hasRemaining()) {
+            return drainHeadTo(target);
+        }
+        if (unread.size() > 0) {
+            return unread.drainTo(target);
+        }
+        if (ended) {
+            return -1;
+        }
+        int count = next.read(target);
         if (count > 0) {
             readListener.run();
         }
         return count;
     }
 
-    private int readLookahead(ByteBuffer target) {
-        int count = Math.min(lookahead.remaining(), target.remaining());
-        target.put(target.position(), lookahead, lookahead.position(), count).position(target.position() + count);
-        lookahead.position(lookahead.position() + count);
-        if (!lookahead.hasRemaining()) {
-            lookahead = null;
+    /**
+     * Reads until the head is complete, and returns whether it is. A head that is too long is passed on as it is, so
+     * that Undertow rejects it.
+     */
+    private boolean readHead() throws IOException {
+        byte[] bytes = unread.takeHead();
+        boolean mayHaveMore = !ended;
+        for (int reads = 0; bytes == null && mayHaveMore && !unread.isFull() && reads < MAX_READS_PER_ROUND; reads++) {
+            mayHaveMore = readOnce() > 0;
+            bytes = unread.takeHead();
+        }
+        if (bytes == null && !unread.isFull()) {
+            return false;
         }
+        awaitsHead = false;
+        head = bytes == null ? null : new RequestHead(bytes);
+        headForParser = ByteBuffer.wrap(head == null ? new byte[0] : head.forParser());
+        return true;
+    }
+
+    private int drainHeadTo(ByteBuffer target) {
+        int count = Math.min(headForParser.remaining(), target.remaining());
+        target.put(target.position(), headForParser, headForParser.position(), count);
+        target.position(target.position() + count);
+        headForParser.position(headForParser.position() + count);
         return count;
     }
 
@@ -74,12 +166,22 @@
     }
 
     @Override
-    public long transferTo(long position, long count, FileChannel target) {
-        throw new UnsupportedOperationException("transferring client data to a file is not supported");
+    public void resumeReads() {
+        // The socket does not report bytes that have been read from it already.
+        if (awaitsHead ? unread.hasHead() : hasBufferedBytes()) {
+            next.wakeupReads();
+        } else {
+            next.resumeReads();
+        }
+    }
+
+    @Override
+    public long transferTo(long position, long count, FileChannel target) throws IOException {
+        return target.transferFrom(new ConduitReadableByteChannel(this), position, count);
     }
 
     @Override
-    public long transferTo(long count, ByteBuffer throughBuffer, StreamSinkChannel target) {
-        throw new UnsupportedOperationException("transferring client data to a channel is not supported");
+    public long transferTo(long count, ByteBuffer throughBuffer, StreamSinkChannel target) throws IOException {
+        return IoUtils.transfer(new ConduitReadableByteChannel(this), count, throughBuffer, target);
     }
 }
--- a/src/main/java/gatelock/http/HttpResponseSink.java
+++ b/src/main/java/gatelock/http/HttpResponseSink.java
@@ -4,14 +4,12 @@
 import gatelock.state.InFlightRequest;
 import gatelock.state.ResponseSink;
 import gatelock.state.UpstreamResponse;
-import io.undertow.connector.PooledByteBuffer;
 import io.undertow.io.IoCallback;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import io.undertow.util.StatusCodes;
-import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.function.Consumer;
 import org.xnio.conduits.StreamSourceConduit;
@@ -50,43 +48,34 @@
      * response, and would not detect it.
      */
     void watchForClose() {
-        if (request.isCompleted()
-                || !(exchange.getConnection() instanceof HttpServerConnection connection)
-                || connection.getExtraBytes() != null) {
+        if (request.isCompleted() || !(exchange.getConnection() instanceof HttpServerConnection connection)) {
             return;
         }
         StreamSourceConduit source = connection.getOriginalSourceConduit();
-        connection.getChannel().getSourceChannel().setReadListener(channel -> readAhead(connection, source));
+        connection.getChannel().getSourceChannel().setReadListener(channel -> {
+            if (request.isCompleted() || endIfClientLeft()) {
+                source.suspendReads();
+            }
+        });
         source.resumeReads();
     }
 
-    private void readAhead(HttpServerConnection connection, StreamSourceConduit source) {
-        source.suspendReads();
-        if (request.isCompleted()) {
-            return;
-        }
-        PooledByteBuffer pooled = connection.getByteBufferPool().allocate();
-        try {
-            int count = source.read(pooled.getBuffer());
-            if (count > 0) {
-                // These bytes belong to a pipelined request, which Undertow reads after this request has been answered.
-                pooled.getBuffer().flip();
-                connection.setExtraBytes(pooled);
-                return;
-            }
-            pooled.close();
-            if (count == 0) {
-                source.resumeReads();
-                return;
-            }
-        } catch (IOException e) {
-            pooled.close();
+    @Override
+    public boolean isClientConnected() {
+        return clientListener.isClientConnected(exchange);
+    }
+
+    @Override
+    public boolean endIfClientLeft() {
+        if (isClientConnected()) {
+            return false;
         }
         try {
             admitter.clientDisconnected(request);
         } finally {
             clientListener.clientDisconnected(exchange);
         }
+        return true;
     }
 
     @Override
--- /dev/null
+++ b/src/main/java/gatelock/http/RequestHead.java
@@ -0,0 +1,110 @@
+package gatelock.http;
+
+import io.undertow.util.HttpString;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.IntPredicate;
+import java.util.function.Predicate;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * The head of one request as the client wrote it. Undertow decodes and merges parts of a head, so it only serves to
+ * understand a request; what is forwarded is taken from here.
+ */
+final class RequestHead {
+    /** RFC 9112, 3: method, target and version, separated by single spaces. The target is not interpreted here. */
+    private static final Pattern REQUEST_LINE = Pattern.compile("([!-~]+) ([!-~]+) (HTTP/1\\.[01])");
+
+    private static final String TOKEN_DELIMITERS = "\"(),/:;<=>?@[\\]{}";
+    private static final char DELETE = 127;
+
+    private final String text;
+    private final String method;
+    private final String target;
+    private final String version;
+    private final List<String> headerLines = new ArrayList<>();
+    private final boolean wellFormed;
+    private int headersStart;
+
+    /**
+     * Reads a head.
+     *
+     * @param bytes the head, up to and including the empty line at its end
+     */
+    RequestHead(byte[] bytes) {
+        text = new String(bytes, StandardCharsets.ISO_8859_1);
+        Matcher requestLine = REQUEST_LINE.matcher(readLines());
+        boolean matches = requestLine.matches();
+        method = matches ? requestLine.group(1) : "";
+        target = matches ? requestLine.group(2) : "";
+        version = matches ? requestLine.group(3) : "";
+        wellFormed = matches && headerLines.stream().allMatch(RequestHead::isHeaderLine);
+    }
+
+    /** Reads all lines and returns the first one that is not empty, which is the request line. */
+    private String readLines() {
+        String requestLine = "";
+        int start = 0;
+        for (int end = text.indexOf('\n'); end >= 0; end = text.indexOf('\n', start)) {
+            String line = text.substring(start, end > start && text.charAt(end - 1) == '\r' ? end - 1 : end);
+            start = end + 1;
+            if (requestLine.isEmpty()) {
+                requestLine = line;
+                headersStart = start;
+            } else if (!line.isEmpty()) {
+                headerLines.add(line);
+            }
+        }
+        return requestLine;
+    }
+
+    /** Returns whether a line is a header that every parser reads in the same way. Continuation lines are not. */
+    private static boolean isHeaderLine(String line) {
+        int colon = line.indexOf(':');
+        return colon > 0
+                && all(line, 0, colon, c -> c > ' ' && c < DELETE && TOKEN_DELIMITERS.indexOf(c) < 0)
+                && all(line, colon + 1, line.length(), c -> c == '\t' || (c >= ' ' && c != DELETE));
+    }
+
+    private static boolean all(String line, int start, int end, IntPredicate condition) {
+        return line.substring(start, end).chars().allMatch(condition);
+    }
+
+    /**
+     * Returns whether the head is of the form of RFC 9112. Another one may mean something else to the endpoint than to
+     * the relay.
+     */
+    boolean isWellFormed() {
+        return wellFormed;
+    }
+
+    /** Returns the target of the request: path and query as they were written. */
+    String target() {
+        return target;
+    }
+
+    /** Returns the path of the target as it was written. */
+    String path() {
+        int query = target.indexOf('?');
+        return query < 0 ? target : target.substring(0, query);
+    }
+
+    /** Returns the header lines of a well-formed head, without their line ends, except those with certain names. */
+    List<String> headerLinesExcept(Predicate<HttpString> excluded) {
+        return headerLines.stream()
+                .filter(line -> !excluded.test(new HttpString(line.substring(0, line.indexOf(':')))))
+                .toList();
+    }
+
+    /**
+     * Returns the head as Undertow gets it: a well-formed one without its query, from which Undertow would build a map
+     * with up to a thousand entries.
+     */
+    byte[] forParser() {
+        String forwarded =
+                wellFormed ? method + " " + path() + " " + version + "\r\n" + text.substring(headersStart) : text;
+        return forwarded.getBytes(StandardCharsets.ISO_8859_1);
+    }
+}
--- a/src/main/java/gatelock/http/RequestHeaders.java
+++ b/src/main/java/gatelock/http/RequestHeaders.java
@@ -3,10 +3,13 @@
 import gatelock.api.DecisionEngine;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.handlers.Cookie;
+import io.undertow.util.Cookies;
 import io.undertow.util.HeaderMap;
+import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashSet;
 import java.util.Set;
 
 /** The request headers that the relay itself uses, and the parsing of their values. */
@@ -40,6 +43,9 @@
     /** The maximum number of digits; the value fits an {@code int}. */
     static final int MAX_DIGITS = 9;
 
+    /** No head that the relay accepts has more: the size of the head is the only limit for the number of cookies. */
+    private static final int MAX_COOKIES = ReadAheadBuffer.MAX_BYTES;
+
     private static final int MAX_ID_LENGTH = 256;
     /** One hour; an announced cost above it is ignored. */
     private static final long MAX_COST_US = 3_600_000_000L;
@@ -87,9 +93,19 @@
      * endpoint, so cookies that cannot be parsed, such as {@code $Version=x}, count as absent.
      */
     static String keyCookie(HttpServerExchange exchange) {
+        HeaderValues values = exchange.getRequestHeaders().get(Headers.COOKIE);
+        if (values == null) {
+            return null;
+        }
+        // Not with the exchange, which would keep all cookies until the response is written.
+        Set<Cookie> cookies = new LinkedHashSet<>();
         try {
-            Cookie cookie = exchange.getRequestCookie(KEY_COOKIE);
-            return cookie == null ? null : cookie.getValue();
+            Cookies.parseRequestCookies(MAX_COOKIES, false, values, cookies);
+            return cookies.stream()
+                    .filter(cookie -> cookie.getName().equals(KEY_COOKIE))
+                    .map(Cookie::getValue)
+                    .findFirst()
+                    .orElse(null);
         } catch (IllegalArgumentException | IllegalStateException e) {
             return null;
         }
--- a/src/main/java/gatelock/http/RequestReader.java
+++ b/src/main/java/gatelock/http/RequestReader.java
@@ -207,6 +207,7 @@
 
     private void accept(HttpServerExchange exchange, Admission.MatchedRoute matchedRoute, int route, byte[] body) {
         String id = exchange.getRequestHeaders().getFirst(RequestHeaders.TRACE_ID);
+        clientListener.takeBackOverread(exchange);
         if (admitter.isInFlight(id)) {
             reject(exchange, StatusCodes.BAD_REQUEST);
             return;
@@ -214,7 +215,8 @@
         HttpResponseSink responseSink = new HttpResponseSink(exchange, clientListener, admitter);
         long deadlineUs = deadlineUs(exchange, route);
         boolean opensSession = isSessionRequest(exchange, matchedRoute);
-        byte[] head = ForwardedRequestHead.of(exchange, body.length, opensSession);
+        byte[] head = ForwardedRequestHead.of(
+                exchange.getRequestMethod(), clientListener.headOf(exchange), body.length, opensSession);
         InFlightRequest request = new InFlightRequest(id, head, body, deadlineUs, responseSink);
         responseSink.bind(request);
         if (opensSession) {
--- a/src/main/java/gatelock/state/ResponseSink.java
+++ b/src/main/java/gatelock/state/ResponseSink.java
@@ -1,11 +1,22 @@
 package gatelock.state;
 
 /**
- * Sends the response to a client's request, in any protocol. Exactly one of its methods is called, and only once. If a
- * response cannot be sent, the sink itself closes the connection to the client.
+ * Sends the response to a client's request, in any protocol. Exactly one of the methods that send a response is called,
+ * and only once, unless the client leaves before. If a response cannot be sent, the sink itself closes the connection to
+ * the client.
  */
 public interface ResponseSink {
 
+    /** Returns whether the client is still connected, for which all that has arrived from it is read. */
+    boolean isClientConnected();
+
+    /**
+     * Ends the request without a response if its client has left. Must not be called while the decision engine runs.
+     *
+     * @return whether the client has left
+     */
+    boolean endIfClientLeft();
+
     /** Forwards an endpoint's response. */
     void forward(UpstreamResponse response);
 
--- a/src/test/java/gatelock/ForwardedAsWrittenTest.java
+++ b/src/test/java/gatelock/ForwardedAsWrittenTest.java
@@ -32,6 +32,8 @@
                         + "X-Trace-Id:%20hidden%0D%0AContent-Length:%200%0D%0A%0D%0AGET%20/read",
                 "/read/%0D%0AX-Hidden:%201/x",
                 "/read/a%2Fb/../c//d/./e",
+                "/read/items?",
+                "/read/items??a=?b",
                 "/read/items;v=1;w/x;y=2?z;q",
                 "/read/;a=?b",
                 "/read/%zz?x=%",
@@ -56,10 +58,14 @@
     @ParameterizedTest
     @ValueSource(
             strings = {
+                "X-Trace-Id: a  b\tc\r\n",
                 "X-Trace-Id: \u00e9\u00ff\r\n",
                 "X-Trace-Id: t\r\nIdempotency-Key: 77\r\n",
                 "X-Trace-Id: t\r\nX-Customer: acme\r\nX-Props: a=1,b=2\r\nX-Second-Try: 1\r\n",
-                "X-Trace-Id: t\r\nAuthorization: Basic YTpi\r\n",
+                "X-Trace-Id: t\r\nCookie: a=\"b\"; k=7f\r\nCookie: c=%0D%0A\r\n",
+                "X-Trace-Id: t\r\nAuthorization: Basic YTpi\r\nX-Empty:\r\n",
+                "X-Trace-Id: t\rX-Hidden: 1\r\n",
+                "X-Trace-Id: t\r\n X-Folded: 1\r\n",
                 "X-Trace-Id: t\u0000\r\n",
                 "X-Trace-Id: t\r\nX-Y\u00e9: \u0001\r\n"
             })
--- a/src/test/java/gatelock/RequestForwardingTest.java
+++ b/src/test/java/gatelock/RequestForwardingTest.java
@@ -43,6 +43,43 @@
         assertThat(endpoint.connections()).hasSizeLessThan(10);
     }
 
+    /** Guards against bytes of the next request that are lost, or taken for a part of the one before. */
+    @Test
+    void forwardsRequestsThatArriveTogetherOneAfterAnother() throws Exception {
+        startRelay();
+        try (Socket client = relay.connect()) {
+            String head = " HTTP/1.1\r\nHost: x\r\nX-Trace-Id: ";
+            RawHttp.write(
+                    client,
+                    "POST /claim/1" + head + "a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\none\r\n0\r\n\r\n"
+                            + "\r\nPOST /claim/2" + head + "b\r\nContent-Length: 3\r\n\r\ntwo"
+                            + "GET /read/3?x" + head + "c\r\n\r\n");
+            for (String expected : new String[] {"POST /claim/1 one", "POST /claim/2 two", "GET /read/3?x "}) {
+                HttpMessage call = endpoint.awaitCall();
+                String requestLine = call.head().substring(0, call.head().indexOf(" HTTP/1.1"));
+                assertThat(requestLine + " " + call.body()).isEqualTo(expected);
+                call.respond("200 OK", "", expected);
+                assertThat(readMessage(client).body()).isEqualTo(expected);
+            }
+        }
+    }
+
+    @Test
+    void forwardsRequestThatArrivesByteByByte() throws Exception {
+        startRelay();
+        try (Socket client = relay.connect()) {
+            client.setTcpNoDelay(true);
+            String request = "POST /claim?x HTTP/1.1\r\nHost: x\r\nX-Trace-Id: slow\r\nContent-Length: 2\r\n\r\nok";
+            for (int i = 0; i < request.length(); i++) {
+                RawHttp.write(client, request.substring(i, i + 1));
+                Thread.sleep(1);
+            }
+            HttpMessage call = endpoint.awaitCall();
+            assertThat(call.head()).startsWith("POST /claim?x HTTP/1.1\r\n");
+            assertThat(call.body()).isEqualTo("ok");
+        }
+    }
+
     @Test
     void forwardsLargeBodyCompletely() throws Exception {
         startRelay();
--- a/src/test/java/gatelock/pipeline/RequestFailureTest.java
+++ b/src/test/java/gatelock/pipeline/RequestFailureTest.java
@@ -102,6 +102,16 @@
     void answersRequestIfItsCompletionActionThrows() {
         List<String> responses = new ArrayList<>();
         InFlightRequest request = new InFlightRequest("r", new byte[0], new byte[0], 0, new ResponseSink() {
+            @Override
+            public boolean isClientConnected() {
+                return true;
+            }
+
+            @Override
+            public boolean endIfClientLeft() {
+                return false;
+            }
+
             @Override
             public void forward(UpstreamResponse response) {
                 responses.add("forwarded");
