Close the slowest incomplete requests when clients use up all connections

Cause: room was made only by closing connections without a first request and idle ones, never one in the middle of a request, so half requests alone held all places until their timeout of 2.5 s.

Change: above the hard limit the connection whose request has been incomplete longest is closed, after a check for bytes that are unread; one whose response is not read comes last. A complete request is never closed for room.

--- a/src/main/java/gatelock/http/ClientListener.java
+++ b/src/main/java/gatelock/http/ClientListener.java
@@ -80,8 +80,8 @@
      * @param eventLoop the I/O thread
      * @param counters counts client connections
      * @param softLimit the number of connections above which idle ones are evicted
-     * @param hardLimit the number of connections above which any one that waits for its first request is evicted, and
-     *     no more are accepted
+     * @param hardLimit the number of connections above which any one without a complete request is evicted, and no more
+     *     are accepted
      */
     public ClientListener(EventLoop eventLoop, Counters counters, int softLimit, int hardLimit) {
         this.eventLoop = eventLoop;
@@ -254,7 +254,7 @@
 
     /** Called when a request has been read completely. Its connection stays open until the response is written. */
     void requestCompleted(HttpServerExchange exchange) {
-        connections.requestCompleted(connectionOf(exchange));
+        connections.requestCompleted(eventLoop.nowUs(), connectionOf(exchange));
     }
 
     /**
--- a/src/main/java/gatelock/http/ClientReadConduit.java
+++ b/src/main/java/gatelock/http/ClientReadConduit.java
@@ -66,18 +66,24 @@
     }
 
     /**
-     * Returns whether there are unread bytes, which are read ahead for that. If so, the reader is woken for them. The
-     * end of the stream and a broken connection count as no bytes.
+     * Returns whether bytes have arrived that were not offered to the reader, and wakes it for them. The end of the
+     * stream and a broken connection count as no bytes.
      */
     boolean hasUnreadBytes() {
+        int sizeBefore = unread.size();
         readAhead();
-        if (hasBufferedBytes()) {
+        if (unread.size() > sizeBefore || hasBytesForReader()) {
             next.wakeupReads();
             return true;
         }
         return false;
     }
 
+    /** Returns whether a read returns bytes without reading from the socket. */
+    private boolean hasBytesForReader() {
+        return awaitsHead ? unread.hasHead() : hasBufferedBytes();
+    }
+
     /** Reads ahead what has arrived, and returns whether the client is still connected. */
     ClientPresence readAhead() {
         try {
@@ -168,7 +174,7 @@
     @Override
     public void resumeReads() {
         // The socket does not report bytes that have been read from it already.
-        if (awaitsHead ? unread.hasHead() : hasBufferedBytes()) {
+        if (hasBytesForReader()) {
             next.wakeupReads();
         } else {
             next.resumeReads();
--- a/src/main/java/gatelock/state/ClientCloseReason.java
+++ b/src/main/java/gatelock/state/ClientCloseReason.java
@@ -12,6 +12,8 @@
     IDLE("clients closed, idle"),
     /** It was evicted before any byte of its first request had arrived. */
     EVICTED_WITHOUT_REQUEST("clients closed for room, silent"),
+    /** It was evicted before its request was complete. */
+    EVICTED_INCOMPLETE("clients closed for room, no whole req"),
     /** It was evicted while it was idle. */
     EVICTED_IDLE("clients closed for room, idle"),
     /** The relay is shutting down. */
--- a/src/main/java/gatelock/state/ClientConnections.java
+++ b/src/main/java/gatelock/state/ClientConnections.java
@@ -1,5 +1,11 @@
 package gatelock.state;
 
+import static gatelock.state.ClientConnectionState.AWAITING_FIRST_REQUEST;
+import static gatelock.state.ClientConnectionState.AWAITING_RESPONSE;
+import static gatelock.state.ClientConnectionState.IDLE;
+import static gatelock.state.ClientConnectionState.READING_REQUEST;
+import static gatelock.state.ClientConnectionState.WRITING_RESPONSE;
+
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.HashMap;
@@ -33,22 +39,22 @@
      */
     public static final long IDLE_TIMEOUT_US = 2_000_000;
     /**
-     * Up to the hard limit, a connection that awaits its first request is evicted only if it is older than this:
-     * ordinary clients send their first request sooner.
+     * As long as there are others, a connection without a complete request is evicted only if it is older than this:
+     * ordinary clients send their request sooner.
      */
     private static final long EVICTION_MIN_AGE_US = 300_000;
     /** The maximum number of connections that one eviction examines; if none of them may be closed, none is evicted. */
     private static final int MAX_EVICTION_CANDIDATES = 8;
 
-    private static final List<ClientConnectionState> STATES_WITH_TIMEOUT = List.of(
-            ClientConnectionState.AWAITING_FIRST_REQUEST,
-            ClientConnectionState.READING_REQUEST,
-            ClientConnectionState.WRITING_RESPONSE,
-            ClientConnectionState.IDLE);
+    private static final List<ClientConnectionState> STATES_WITH_TIMEOUT =
+            List.of(AWAITING_FIRST_REQUEST, READING_REQUEST, WRITING_RESPONSE, IDLE);
 
     private static final class Entry {
-        private ClientConnectionState state = ClientConnectionState.AWAITING_FIRST_REQUEST;
+        private ClientConnectionState state = AWAITING_FIRST_REQUEST;
         private long deadlineUs;
+        /** When the connection entered its state. */
+        private long sinceUs;
+
         /** Whether bytes of the next request were read before the current response was completely written. */
         private boolean nextRequestStarted;
         /** Whether the last check found the deadline passed and left the connection open. */
@@ -70,8 +76,7 @@
      * @param sockets gives access to the sockets of the connections
      * @param softLimit the number of connections above which idle connections are evicted, and connections that have
      *     waited for their first request for some time
-     * @param hardLimit the number of connections above which any connection that awaits its first request may be
-     *     evicted
+     * @param hardLimit the number of connections above which any connection without a complete request may be evicted
      */
     public ClientConnections(Counters counters, ClientSockets<C> sockets, int softLimit, int hardLimit) {
         this.counters = counters;
@@ -101,16 +106,15 @@
 
     /** Returns whether the response to a request on a connection has started and is not completely written. */
     public boolean isWritingResponse(C connection) {
-        return state(connection) == ClientConnectionState.WRITING_RESPONSE;
+        return state(connection) == WRITING_RESPONSE;
     }
 
     /** Adds a connection that was accepted. */
     public void accepted(long nowUs, C connection) {
         counters.increment("client connections");
         Entry entry = new Entry();
-        entry.deadlineUs = nowUs + REQUEST_TIMEOUT_US;
         entries.put(connection, entry);
-        byState.get(ClientConnectionState.AWAITING_FIRST_REQUEST).add(connection);
+        enter(nowUs, AWAITING_FIRST_REQUEST, connection, entry, nowUs + REQUEST_TIMEOUT_US);
     }
 
     /** Records that bytes from the client were read, even if they do not form a valid request. */
@@ -120,22 +124,20 @@
             return;
         }
         switch (entry.state) {
-            case AWAITING_FIRST_REQUEST ->
-                enter(ClientConnectionState.READING_REQUEST, connection, entry, entry.deadlineUs);
-            case IDLE -> enter(ClientConnectionState.READING_REQUEST, connection, entry, nowUs + REQUEST_TIMEOUT_US);
+            case AWAITING_FIRST_REQUEST -> enter(nowUs, READING_REQUEST, connection, entry, entry.deadlineUs);
+            case IDLE -> enter(nowUs, READING_REQUEST, connection, entry, nowUs + REQUEST_TIMEOUT_US);
             case AWAITING_RESPONSE, WRITING_RESPONSE -> entry.nextRequestStarted = true;
             case READING_REQUEST -> {}
         }
     }
 
     /** Records that a request is complete. Its connection stays open until the response is written. */
-    public void requestCompleted(C connection) {
+    public void requestCompleted(long nowUs, C connection) {
         Entry entry = entries.get(connection);
         if (entry != null) {
             counters.checkInvariant(
-                    entry.state == ClientConnectionState.READING_REQUEST,
-                    "a req whole on a connection on which none was coming");
-            enter(ClientConnectionState.AWAITING_RESPONSE, connection, entry, Long.MAX_VALUE);
+                    entry.state == READING_REQUEST, "a req whole on a connection on which none was coming");
+            enter(nowUs, AWAITING_RESPONSE, connection, entry, Long.MAX_VALUE);
         }
     }
 
@@ -143,7 +145,7 @@
     public void responseStarted(long nowUs, C connection) {
         Entry entry = entries.get(connection);
         if (entry != null) {
-            enter(ClientConnectionState.WRITING_RESPONSE, connection, entry, nowUs + IDLE_TIMEOUT_US);
+            enter(nowUs, WRITING_RESPONSE, connection, entry, nowUs + IDLE_TIMEOUT_US);
         }
     }
 
@@ -161,9 +163,9 @@
         }
         if (entry.nextRequestStarted || pipelined) {
             entry.nextRequestStarted = false;
-            enter(ClientConnectionState.READING_REQUEST, connection, entry, nowUs + REQUEST_TIMEOUT_US);
+            enter(nowUs, READING_REQUEST, connection, entry, nowUs + REQUEST_TIMEOUT_US);
         } else {
-            enter(ClientConnectionState.IDLE, connection, entry, nowUs + IDLE_TIMEOUT_US);
+            enter(nowUs, IDLE, connection, entry, nowUs + IDLE_TIMEOUT_US);
         }
     }
 
@@ -175,9 +177,10 @@
         }
     }
 
-    private void enter(ClientConnectionState state, C connection, Entry entry, long deadlineUs) {
+    private void enter(long nowUs, ClientConnectionState state, C connection, Entry entry, long deadlineUs) {
         byState.get(entry.state).remove(connection);
         entry.state = state;
+        entry.sinceUs = nowUs;
         entry.deadlineUs = deadlineUs;
         entry.overdueAtLastCheck = false;
         byState.get(state).add(connection);
@@ -203,7 +206,7 @@
     private List<C> overdue(ClientConnectionState state, long nowUs) {
         // READING_REQUEST is the only state whose deadlines are not in order of entry: the deadline of a first request
         // is measured from accept, that of a later request from its first byte.
-        boolean inOrder = state != ClientConnectionState.READING_REQUEST;
+        boolean inOrder = state != READING_REQUEST;
         List<C> overdue = new ArrayList<>();
         for (C connection : byState.get(state)) {
             if (entries.get(connection).deadlineUs <= nowUs) {
@@ -219,44 +222,44 @@
      * Evicts at most one connection if there are too many. Guards against connections that prevent others from being
      * accepted, and against clients that keep opening connections. Above the soft limit, connections that have waited
      * for their first request for some time are evicted first, then idle ones. If there are none and the hard limit is
-     * exceeded, any connection that awaits its first request may be evicted. Within each group the oldest is evicted
-     * first. A new connection can be evicted only until its first request is read. A client whose first request is slow
-     * to arrive while very many others connect may therefore be disconnected.
+     * exceeded, the next are those whose request has been incomplete for some time, then any without a complete request,
+     * and at last those that have not read their response for some time. Within each group the oldest is evicted first.
+     * A client whose request is slow to arrive while very many others connect may therefore be disconnected.
      */
     public void evictIfOverLimit(long nowUs) {
         if (entries.size() <= softLimit) {
             return;
         }
-        long deadlineBeforeUs = nowUs + REQUEST_TIMEOUT_US - EVICTION_MIN_AGE_US;
-        boolean evicted = evictOldest(
-                        nowUs,
-                        ClientConnectionState.AWAITING_FIRST_REQUEST,
-                        deadlineBeforeUs,
-                        ClientCloseReason.EVICTED_WITHOUT_REQUEST)
-                || evictOldest(nowUs, ClientConnectionState.IDLE, Long.MAX_VALUE, ClientCloseReason.EVICTED_IDLE);
+        long oldUs = nowUs - EVICTION_MIN_AGE_US;
+        boolean evicted = evictOldest(nowUs, AWAITING_FIRST_REQUEST, oldUs, ClientCloseReason.EVICTED_WITHOUT_REQUEST)
+                || evictOldest(nowUs, IDLE, nowUs, ClientCloseReason.EVICTED_IDLE);
         if (!evicted && entries.size() > hardLimit) {
-            evictOldest(
-                    nowUs,
-                    ClientConnectionState.AWAITING_FIRST_REQUEST,
-                    Long.MAX_VALUE,
-                    ClientCloseReason.EVICTED_WITHOUT_REQUEST);
+            evictAboveHardLimit(nowUs, oldUs);
+        }
+    }
+
+    private void evictAboveHardLimit(long nowUs, long oldUs) {
+        boolean evicted = evictOldest(nowUs, READING_REQUEST, oldUs, ClientCloseReason.EVICTED_INCOMPLETE)
+                || evictOldest(nowUs, AWAITING_FIRST_REQUEST, nowUs, ClientCloseReason.EVICTED_WITHOUT_REQUEST)
+                || evictOldest(nowUs, READING_REQUEST, nowUs, ClientCloseReason.EVICTED_INCOMPLETE);
+        if (!evicted) {
+            evictOldest(nowUs, WRITING_RESPONSE, oldUs, ClientCloseReason.RESPONSE_NOT_READ);
         }
     }
 
     /**
-     * Closes the oldest connection that may be closed among those in a state with a deadline before the given time;
-     * returns whether one was closed.
+     * Closes the oldest connection that may be closed among those in a state since the given time or longer; returns
+     * whether one was closed.
      */
-    private boolean evictOldest(
-            long nowUs, ClientConnectionState state, long deadlineBeforeUs, ClientCloseReason reason) {
+    private boolean evictOldest(long nowUs, ClientConnectionState state, long latestSinceUs, ClientCloseReason reason) {
         for (int examined = 0; examined < MAX_EVICTION_CANDIDATES; examined++) {
-            // A candidate that may not be closed has changed its state, so the next candidate is now the first one.
+            // A candidate that may not be closed is not the first one of this state any more.
             Iterator<C> oldest = byState.get(state).iterator();
             if (!oldest.hasNext()) {
                 return false;
             }
             C connection = oldest.next();
-            if (entries.get(connection).deadlineUs >= deadlineBeforeUs) {
+            if (entries.get(connection).sinceUs > latestSinceUs) {
                 return false;
             }
             if (close(nowUs, connection, reason)) {
@@ -268,8 +271,7 @@
 
     /** Closes, for shutdown, the connections without a request or response in progress. */
     public void closeInactive(long nowUs) {
-        for (ClientConnectionState state :
-                List.of(ClientConnectionState.AWAITING_FIRST_REQUEST, ClientConnectionState.IDLE)) {
+        for (ClientConnectionState state : List.of(AWAITING_FIRST_REQUEST, IDLE)) {
             for (C connection : new ArrayList<>(byState.get(state))) {
                 close(nowUs, connection, ClientCloseReason.SHUTDOWN);
             }
@@ -290,7 +292,7 @@
             return false;
         }
         if (!reason.appliesInAnyState()) {
-            if (entry.state == ClientConnectionState.AWAITING_RESPONSE) {
+            if (entry.state == AWAITING_RESPONSE) {
                 counters.checkInvariant(false, "a connection to be ended that is owed an answer");
                 return false;
             }
@@ -299,6 +301,11 @@
                 bytesRead(nowUs, connection);
                 return false;
             }
+            if (reason == ClientCloseReason.EVICTED_INCOMPLETE && sockets.hasUnreadBytes(connection)) {
+                // The rest of the request may have arrived, so the client has not been slow since now.
+                enter(nowUs, READING_REQUEST, connection, entry, entry.deadlineUs);
+                return false;
+            }
         }
         counters.increment(reason.counter());
         remove(connection);
--- a/src/test/java/gatelock/ClientConnectionLimitsTest.java
+++ b/src/test/java/gatelock/ClientConnectionLimitsTest.java
@@ -63,6 +63,34 @@
         }
     }
 
+    /** Guards against clients that stop in the middle of a request and take the places of others until their timeout. */
+    @Test
+    void servesNewClientsWhenHalfRequestsUseAllConnections() throws Exception {
+        relay.replaceInConfig("\"sockets\": 1024", "\"sockets\": 128");
+        startRelay();
+        List<Socket> stoppedClients = new ArrayList<>();
+        for (int i = 0; i < 100; i++) {
+            Socket stopped = relay.connect();
+            stoppedClients.add(stopped);
+            RawHttp.write(
+                    stopped,
+                    i % 2 == 0
+                            ? "POST /claim HTTP/1.1\r\nHost: x\r\nX-Trace-Id: h" + i
+                                    + "\r\nContent-Length: 9\r\n\r\nhalf"
+                            : "POST /claim HTTP/1.1\r\nHost: x\r\nX-Trace-");
+        }
+        long startNs = System.nanoTime();
+        for (int i = 0; i < 5; i++) {
+            assertServedBy(endpoint, "new" + i);
+        }
+        // Stopped clients are closed after 2.5 s anyway.
+        assertThat(System.nanoTime() - startNs).isLessThan(1_500_000_000L);
+        for (Socket stopped : stoppedClients) {
+            assertThat(isClosedByPeer(stopped)).isTrue();
+            stopped.close();
+        }
+    }
+
     @Test
     void servesOtherClientsAfterOneDisconnects() throws Exception {
         startRelay();
--- a/src/test/java/gatelock/state/ClientConnectionsTest.java
+++ b/src/test/java/gatelock/state/ClientConnectionsTest.java
@@ -9,6 +9,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.DoubleRange;
+import org.junit.jupiter.api.Test;
 
 /**
  * Runs {@link ClientConnections} with random arrivals, partial reads, stalls, timers and responses. Guards against
@@ -97,7 +98,7 @@
                     c.partsRead = c.partsWritten;
                     connections.bytesRead(nowUs, c);
                     if (c.partsRead == PARTS_PER_REQUEST) {
-                        connections.requestCompleted(c);
+                        connections.requestCompleted(nowUs, c);
                     }
                 } else if (c.receivingResponse && random.nextInt(3) == 0) {
                     c.receivingResponse = false;
@@ -160,4 +161,29 @@
         }
         assertThat(slowClient.closeReason).isEqualTo(ClientCloseReason.REQUEST_INCOMPLETE);
     }
+
+    /** Guards against incomplete requests that hold all connections, so that no client is accepted any more. */
+    @Test
+    void evictsSlowestIncompleteRequestAboveHardLimit() {
+        Simulation simulation = new Simulation(1, 20, 40);
+        simulation.runEventLoopOnce(40);
+        simulation.clients.forEach(c -> c.partsWritten = 1);
+        simulation.nowUs += 1_000;
+        simulation.clients.subList(0, 40).forEach(c -> {
+            c.partsRead = 1;
+            simulation.connections.bytesRead(simulation.nowUs, c);
+        });
+        List<Client> slow = List.copyOf(simulation.clients);
+        // The rest of the request of the oldest one has arrived, but is unread.
+        slow.get(0).partsWritten = PARTS_PER_REQUEST;
+        slow.get(0).completedUs = simulation.nowUs;
+        simulation.nowUs += 400_000;
+        Client accepted = new Client();
+        simulation.clients.add(accepted);
+        simulation.connections.accepted(simulation.nowUs, accepted);
+        simulation.connections.evictIfOverLimit(simulation.nowUs);
+        assertThat(slow).filteredOn(c -> !c.open).containsExactly(slow.get(1));
+        assertThat(slow.get(1).closeReason).isEqualTo(ClientCloseReason.EVICTED_INCOMPLETE);
+        assertThat(accepted.open).isTrue();
+    }
 }
