Send nothing on for a client that has closed its connection, whatever its request waited for

Cause: a request was accepted and sent in tasks that run before the event loop reads again, so a close behind it was seen too late. With further bytes behind a request its connection was not watched.

--- a/src/main/java/gatelock/http/ClientListener.java
+++ b/src/main/java/gatelock/http/ClientListener.java
@@ -236,13 +236,14 @@
      */
     boolean isClientConnected(HttpServerExchange exchange) {
         ClientReadConduit readConduit = readConduits.get(connectionOf(exchange));
+        takeBackOverread(exchange);
         return readConduit != null && readConduit.readAhead() == ClientPresence.CONNECTED;
     }
 
     /**
      * Takes back what Undertow has read behind a chunked body, so that it is read as the next request.
      */
-    void takeBackOverread(HttpServerExchange exchange) {
+    private void takeBackOverread(HttpServerExchange exchange) {
         HttpServerConnection connection = (HttpServerConnection) exchange.getConnection();
         PooledByteBuffer overread = connection.getExtraBytes();
         if (overread != null) {
--- a/src/main/java/gatelock/http/RequestReader.java
+++ b/src/main/java/gatelock/http/RequestReader.java
@@ -207,7 +207,11 @@
 
     private void accept(HttpServerExchange exchange, Admission.MatchedRoute matchedRoute, int route, byte[] body) {
         String id = exchange.getRequestHeaders().getFirst(RequestHeaders.TRACE_ID);
-        clientListener.takeBackOverread(exchange);
+        if (!clientListener.isClientConnected(exchange)) {
+            counters.increment("not taken, client left");
+            clientListener.clientDisconnected(exchange);
+            return;
+        }
         if (admitter.isInFlight(id)) {
             reject(exchange, StatusCodes.BAD_REQUEST);
             return;
--- a/src/main/java/gatelock/pipeline/AttemptSender.java
+++ b/src/main/java/gatelock/pipeline/AttemptSender.java
@@ -79,7 +79,9 @@
 
     private void start(Attempt attempt, InetSocketAddress address, long timeoutUs) {
         InFlightRequest request = attempt.request;
-        if (request.isCompleted() || eventLoop.nowUs() >= request.deadlineUs()) {
+        if (request.isCompleted()
+                || request.responseSink().endIfClientLeft()
+                || eventLoop.nowUs() >= request.deadlineUs()) {
             attempt.end(AttemptResult.NOT_SENT, null);
         } else if (address == null) {
             attempt.end(AttemptResult.NOT_CONNECTED, null);
@@ -160,7 +162,10 @@
         @Override
         public boolean maySend() {
             withdrawn = true;
-            failures.run(request, () -> withdrawn = !request.handle().mayStart(eventLoop.nowUs(), number));
+            failures.run(
+                    request,
+                    () -> withdrawn = !request.responseSink().isClientConnected()
+                            || !request.handle().mayStart(eventLoop.nowUs(), number));
             return !withdrawn;
         }
 
