Reject a request that may have run for a client that left, if it must not run twice

Cause: an id was known only as long as its request was in flight.

Requests that may be repeated are not affected.

--- a/src/main/java/gatelock/http/RequestReader.java
+++ b/src/main/java/gatelock/http/RequestReader.java
@@ -212,7 +212,8 @@
             clientListener.clientDisconnected(exchange);
             return;
         }
-        if (admitter.isInFlight(id)) {
+        boolean repeatable = names.routePolicies().get(route).retrySafety() != RoutePolicy.RetrySafety.NON_RETRIABLE;
+        if (admitter.isDuplicate(id, repeatable)) {
             reject(exchange, StatusCodes.BAD_REQUEST);
             return;
         }
--- a/src/main/java/gatelock/pipeline/OutcomeRecorder.java
+++ b/src/main/java/gatelock/pipeline/OutcomeRecorder.java
@@ -56,7 +56,7 @@
     void clientDisconnected(InFlightRequest request) {
         if (!request.isCompleted()) {
             counters.increment("callers left");
-            inFlight.markCompleted(request);
+            inFlight.markAbandoned(request);
             request.runCompletionAction();
             if (request.isAccepted()) {
                 request.handle().responseNoLongerOwed(eventLoop.nowUs());
--- a/src/main/java/gatelock/pipeline/RequestAdmitter.java
+++ b/src/main/java/gatelock/pipeline/RequestAdmitter.java
@@ -65,11 +65,14 @@
     }
 
     /**
-     * Returns whether a request with this id is in flight, in which case another with the same id could not be
-     * distinguished from it.
+     * Returns whether a request must not be accepted because of its id: a request with the same id is in flight, from
+     * which it could not be distinguished, or may have been executed already for a client that left.
+     *
+     * @param id the id of the request
+     * @param repeatable whether the request may be executed more than once
      */
-    public boolean isInFlight(String id) {
-        return inFlight.get(id) != null;
+    public boolean isDuplicate(String id, boolean repeatable) {
+        return inFlight.get(id) != null || (!repeatable && inFlight.wasAbandoned(id));
     }
 
     /**
--- a/src/main/java/gatelock/state/InFlightRequest.java
+++ b/src/main/java/gatelock/state/InFlightRequest.java
@@ -143,6 +143,11 @@
         return cancellations.size() - 1;
     }
 
+    /** Returns whether any attempt was registered. */
+    boolean hasAttempts() {
+        return !cancellations.isEmpty();
+    }
+
     /** Cancels an attempt; has no effect if it has ended. */
     public void cancelAttempt(int attemptNo) {
         cancellations.get(attemptNo).run();
--- a/src/main/java/gatelock/state/InFlightRequests.java
+++ b/src/main/java/gatelock/state/InFlightRequests.java
@@ -8,6 +8,7 @@
 /** All requests in flight, by id. An answered request remains in flight until its last attempt has ended. */
 public final class InFlightRequests {
     private final Map<String, InFlightRequest> byId = new HashMap<>();
+    private final AbandonedRequests abandoned = new AbandonedRequests();
     private final Counters counters;
 
     /**
@@ -51,6 +52,19 @@
         request.markCompleted();
     }
 
+    /** Records that the client of a request has left, which completes the request without a response. */
+    public void markAbandoned(InFlightRequest request) {
+        markCompleted(request);
+        if (request.hasAttempts()) {
+            abandoned.add(request.id());
+        }
+    }
+
+    /** Returns whether a request with this id was sent to an endpoint for a client that left before the response. */
+    public boolean wasAbandoned(String id) {
+        return abandoned.contains(id);
+    }
+
     /** Removes a request. Another request that has its id by now stays. */
     public void remove(InFlightRequest request) {
         byId.remove(request.id(), request);
--- a/src/test/java/gatelock/ClientDisconnectTest.java
+++ b/src/test/java/gatelock/ClientDisconnectTest.java
@@ -101,4 +101,22 @@
         Thread.sleep(200);
         assertNothingWasSentBefore("next");
     }
+
+    /** A client uses a fresh id for each request, but one that does not must not run a request twice. */
+    @Test
+    void rejectsNonRetriableRequestThatMayHaveRunForClientThatLeft() throws Exception {
+        startRelay();
+        Socket leaving = relay.connect();
+        sendRequest(leaving, "POST /claim", "again", "", "x");
+        HttpMessage call = endpoint.awaitCall();
+        leaving.close();
+        Thread.sleep(100);
+        RawHttp.write(call.socket(), "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone");
+        Thread.sleep(100);
+        try (Socket client = relay.connect()) {
+            sendRequest(client, "POST /claim", "again", "", "x");
+            assertThat(readMessage(client).head()).startsWith("HTTP/1.1 400");
+        }
+        assertNothingWasSentBefore("next");
+    }
 }
