Bound how often one client is answered without an endpoint, and how soon it is accepted again

Cause: nothing bounded how often a connection gets an answer that costs no endpoint's time.

Change: after such an answer the next request on the connection is read 10 ms later. A head that is not well-formed is replaced by one whose rejection leaves the rest unread, and closed half a second later; so is a client that sends too far ahead. Health checks with a body are not drained.

--- a/src/main/java/gatelock/http/ClientListener.java
+++ b/src/main/java/gatelock/http/ClientListener.java
@@ -39,9 +39,11 @@
 
     private static final int BUFFER_BYTES = 4096;
     private static final int MAX_POOLED_BUFFERS = 200;
-    private static final int ACCEPT_BACKLOG = 256;
+    private static final int ACCEPT_BACKLOG = 512;
     /** The number of connections that are accepted beyond the hard limit, so that eviction can make room for them. */
-    private static final int ACCEPT_MARGIN = 8;
+    private static final int ACCEPT_MARGIN = 16;
+    /** The time between two evictions while there are more connections than the hard limit. */
+    private static final long EVICTION_INTERVAL_US = 10_000;
 
     private static final long CHECK_INTERVAL_US = 50_000;
     /**
@@ -49,6 +51,8 @@
      * response.
      */
     private static final long REJECTION_LINGER_US = 500_000;
+    /** How long the next request on a connection is delayed after one that the relay has answered by itself. */
+    private static final long REJECTION_PAUSE_US = 10_000;
     /** How long new connections are accepted after SIGTERM. */
     private static final long ACCEPT_AFTER_SIGTERM_US = 600_000;
     /** The response to the last request must be written this long before the process may be killed. */
@@ -72,6 +76,7 @@
     /** Whether each response closes its connection from now on. */
     private boolean draining;
 
+    private boolean evictionScheduled;
     private long responseDeadlineUs = Long.MAX_VALUE;
 
     /**
@@ -159,11 +164,25 @@
         });
         if (connection.isOpen()) {
             connections.evictIfOverLimit(eventLoop.nowUs());
+            scheduleEviction();
         } else {
             remove(connection);
         }
     }
 
+    /** Evicts again later if there are too many connections, as then no more may be accepted until one is closed. */
+    private void scheduleEviction() {
+        if (evictionScheduled || !connections.isOverHardLimit()) {
+            return;
+        }
+        evictionScheduled = true;
+        eventLoop.schedule(EVICTION_INTERVAL_US, () -> {
+            evictionScheduled = false;
+            connections.evictIfOverLimit(eventLoop.nowUs());
+            scheduleEviction();
+        });
+    }
+
     private void remove(StreamConnection connection) {
         connections.remove(connection);
         readConduits.remove(connection);
@@ -199,16 +218,13 @@
             next.proceed();
         });
         RequestHead head = readConduit.head();
-        if (head == null || !head.isWellFormed()) {
-            exchange.setPersistent(false);
+        if (!head.isWellFormed()) {
             reject(exchange, StatusCodes.BAD_REQUEST);
             return;
         }
         String path = exchange.getRequestPath();
         if (path.startsWith(INTERNAL_PREFIX)) {
-            exchange.setStatusCode(healthStatus(path));
-            responseStarted(exchange);
-            exchange.endExchange();
+            respond(exchange, healthStatus(path));
         } else {
             // A pipelined request may have been read together with the previous one, without a read that the conduit
             // reports.
@@ -230,14 +246,14 @@
         return readConduits.get(connectionOf(exchange)).head();
     }
 
-    /**
-     * Returns whether the client of a request that waits for its response is still connected. All that has arrived from
-     * it is read for that. A client that sends more than is read ahead counts as gone, as its close would not be seen.
-     */
-    boolean isClientConnected(HttpServerExchange exchange) {
+    /** Reads ahead what has arrived behind a request, and returns what is known of its client. */
+    ClientPresence presenceOf(HttpServerExchange exchange) {
         ClientReadConduit readConduit = readConduits.get(connectionOf(exchange));
+        if (readConduit == null) {
+            return ClientPresence.LEFT;
+        }
         takeBackOverread(exchange);
-        return readConduit != null && readConduit.readAhead() == ClientPresence.CONNECTED;
+        return readConduit.readAhead();
     }
 
     /**
@@ -289,6 +305,22 @@
         connections.close(eventLoop.nowUs(), connectionOf(exchange), ClientCloseReason.CLIENT_DISCONNECTED);
     }
 
+    /**
+     * Stops to read from a client whose request waits for nothing any more, and closes its connection: at once if the
+     * client has left, otherwise after a while, so that a client that sends at full speed cannot do so again at once.
+     */
+    void disconnect(HttpServerExchange exchange) {
+        if (presenceOf(exchange) == ClientPresence.LEFT) {
+            clientDisconnected(exchange);
+            return;
+        }
+        StreamConnection connection = connectionOf(exchange);
+        connection.getSourceChannel().suspendReads();
+        eventLoop.schedule(
+                REJECTION_LINGER_US,
+                () -> connections.close(eventLoop.nowUs(), connection, ClientCloseReason.SENT_TOO_FAR_AHEAD));
+    }
+
     /**
      * Ends an exchange in which an unexpected exception was thrown: responds with an error, or closes the connection if
      * a response has started, as the client must not take a truncated response for a complete one.
@@ -310,10 +342,28 @@
         IoUtils.safeClose(connection);
     }
 
+    /**
+     * Delays the next request on a connection. Guards against a client that takes the processing time of others with
+     * requests that are answered at once.
+     */
+    private void pauseReads(StreamConnection connection) {
+        ClientReadConduit readConduit = readConduits.get(connection);
+        if (readConduit != null) {
+            readConduit.pause();
+            eventLoop.schedule(REJECTION_PAUSE_US, readConduit::endPause);
+        }
+    }
+
     /** Responds to a request that is not accepted, whether or not it has been read completely. */
     void reject(HttpServerExchange exchange, int status) {
+        respond(exchange, status);
+    }
+
+    /** Responds without a body to a request that no endpoint gets, whether or not it has been read completely. */
+    private void respond(HttpServerExchange exchange, int status) {
         exchange.setStatusCode(status);
         if (exchange.isRequestComplete()) {
+            pauseReads(connectionOf(exchange));
             responseStarted(exchange);
             exchange.endExchange();
         } else {
--- a/src/main/java/gatelock/http/ClientReadConduit.java
+++ b/src/main/java/gatelock/http/ClientReadConduit.java
@@ -29,7 +29,11 @@
     private boolean upgraded;
     /** The end of the stream, or a broken connection, has been read. */
     private boolean ended;
-    /** The head of the current request, or null if it was too long. */
+    /** Whether reads are paused, and whether the reader wants to be called for bytes that arrive. */
+    private boolean paused;
+
+    private boolean readsResumed;
+    /** The head of the current request. */
     private RequestHead head;
     /** What is left to pass on of the current head. */
     private ByteBuffer headForParser = ByteBuffer.allocate(0);
@@ -40,7 +44,7 @@
         this.readListener = readListener;
     }
 
-    /** Returns the head of the current request, or null if it was longer than the relay accepts. */
+    /** Returns the head of the current request; one that is longer than the relay accepts is not well-formed. */
     RequestHead head() {
         return head;
     }
@@ -50,6 +54,19 @@
         awaitsHead = !upgraded;
     }
 
+    /** Lets the reader wait for further bytes, whether or not they have arrived. */
+    void pause() {
+        paused = true;
+    }
+
+    /** Ends a pause. */
+    void endPause() {
+        paused = false;
+        if (readsResumed && !ended) {
+            resumeReads();
+        }
+    }
+
     /** Passes on all further bytes as they are. */
     void upgrade() {
         upgraded = true;
@@ -111,7 +128,7 @@
 
     @Override
     public int read(ByteBuffer target) throws IOException {
-        if (!target.hasRemaining()) {
+        if (!target.hasRemaining() || paused) {
             return 0;
         }
         if (awaitsHead && !readHead()) {
@@ -133,10 +150,7 @@
         return count;
     }
 
-    /**
-     * Reads until the head is complete, and returns whether it is. A head that is too long is passed on as it is, so
-     * that Undertow rejects it.
-     */
+    /** Reads until the head is complete or too long, and returns whether it is. */
     private boolean readHead() throws IOException {
         byte[] bytes = unread.takeHead();
         boolean mayHaveMore = !ended;
@@ -148,8 +162,8 @@
             return false;
         }
         awaitsHead = false;
-        head = bytes == null ? null : new RequestHead(bytes);
-        headForParser = ByteBuffer.wrap(head == null ? new byte[0] : head.forParser());
+        head = new RequestHead(bytes == null ? new byte[0] : bytes);
+        headForParser = ByteBuffer.wrap(head.forParser());
         return true;
     }
 
@@ -171,8 +185,19 @@
         return 0;
     }
 
+    @Override
+    public void suspendReads() {
+        readsResumed = false;
+        next.suspendReads();
+    }
+
     @Override
     public void resumeReads() {
+        readsResumed = true;
+        if (paused) {
+            next.suspendReads();
+            return;
+        }
         // The socket does not report bytes that have been read from it already.
         if (hasBytesForReader()) {
             next.wakeupReads();
--- a/src/main/java/gatelock/http/HttpResponseSink.java
+++ b/src/main/java/gatelock/http/HttpResponseSink.java
@@ -53,16 +53,20 @@
         }
         StreamSourceConduit source = connection.getOriginalSourceConduit();
         connection.getChannel().getSourceChannel().setReadListener(channel -> {
-            if (request.isCompleted() || endIfClientLeft()) {
+            ClientPresence presence = clientListener.presenceOf(exchange);
+            if (request.isCompleted() || presence != ClientPresence.CONNECTED) {
                 source.suspendReads();
             }
+            if (presence == ClientPresence.LEFT) {
+                endIfClientLeft();
+            }
         });
         source.resumeReads();
     }
 
     @Override
     public boolean isClientConnected() {
-        return clientListener.isClientConnected(exchange);
+        return clientListener.presenceOf(exchange) == ClientPresence.CONNECTED;
     }
 
     @Override
@@ -73,7 +77,7 @@
         try {
             admitter.clientDisconnected(request);
         } finally {
-            clientListener.clientDisconnected(exchange);
+            clientListener.disconnect(exchange);
         }
         return true;
     }
--- a/src/main/java/gatelock/http/ReadAheadBuffer.java
+++ b/src/main/java/gatelock/http/ReadAheadBuffer.java
@@ -10,6 +10,9 @@
     /** The maximum number of bytes, which is also the maximum length of a head. */
     static final int MAX_BYTES = 16 * 1024;
 
+    /** The maximum number of line ends before a request line that are ignored; with more it is no request. */
+    private static final int MAX_LEADING_LINE_END_BYTES = 64;
+
     private static final int INITIAL_BYTES = 512;
     private static final byte[] EMPTY = {};
 
@@ -19,6 +22,8 @@
     /** The position up to which the bytes have been searched for the end of a head. */
     private int searched;
 
+    private int leadingLineEndBytes;
+
     /** Returns the number of bytes. */
     int size() {
         return end - start;
@@ -94,7 +99,8 @@
 
     /**
      * Removes and returns the head of a request from the front, up to and including the empty line at its end, or
-     * returns null if it has not arrived completely. Empty lines before the request line are dropped (RFC 9112, 2.2).
+     * returns null if it has not arrived completely. A few empty lines before the request line are dropped (RFC 9112,
+     * 2.2).
      */
     byte[] takeHead() {
         int headEnd = findHeadEnd();
@@ -102,6 +108,7 @@
             return null;
         }
         byte[] head = Arrays.copyOfRange(bytes, start, headEnd);
+        leadingLineEndBytes = 0;
         consume(head.length);
         return head;
     }
@@ -119,17 +126,19 @@
     }
 
     private void dropLeadingLineEnds() {
-        int count = 0;
-        while (count < size() && (bytes[start + count] == '\r' || bytes[start + count] == '\n')) {
-            count++;
-        }
-        if (count > 0) {
-            consume(count);
+        while (size() > 0
+                && leadingLineEndBytes < MAX_LEADING_LINE_END_BYTES
+                && (bytes[start] == '\r' || bytes[start] == '\n')) {
+            leadingLineEndBytes++;
+            consume(1);
         }
     }
 
     private boolean isEmptyLineBefore(int lineFeed) {
-        int last = bytes[lineFeed - 1] == '\r' ? lineFeed - 2 : lineFeed - 1;
-        return bytes[last] == '\n';
+        int last = lineFeed - 1;
+        if (last >= start && bytes[last] == '\r') {
+            last--;
+        }
+        return last < start || bytes[last] == '\n';
     }
 }
--- a/src/main/java/gatelock/http/RequestHead.java
+++ b/src/main/java/gatelock/http/RequestHead.java
@@ -19,6 +19,11 @@
 
     private static final String TOKEN_DELIMITERS = "\"(),/:;<=>?@[\\]{}";
     private static final char DELETE = 127;
+    /** The maximum number of header lines. */
+    private static final int MAX_HEADERS = 200;
+    /** What Undertow gets in place of a head that the relay rejects: a request whose body never comes. */
+    private static final byte[] REJECTED =
+            "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
 
     private final String text;
     private final String method;
@@ -40,7 +45,9 @@
         method = matches ? requestLine.group(1) : "";
         target = matches ? requestLine.group(2) : "";
         version = matches ? requestLine.group(3) : "";
-        wellFormed = matches && headerLines.stream().allMatch(RequestHead::isHeaderLine);
+        wellFormed = matches
+                && headerLines.size() <= MAX_HEADERS
+                && headerLines.stream().allMatch(RequestHead::isHeaderLine);
     }
 
     /** Reads all lines and returns the first one that is not empty, which is the request line. */
@@ -73,8 +80,8 @@
     }
 
     /**
-     * Returns whether the head is of the form of RFC 9112. Another one may mean something else to the endpoint than to
-     * the relay.
+     * Returns whether the head is of the form of RFC 9112 and has not too many headers. Another form may mean something
+     * else to the endpoint than to the relay.
      */
     boolean isWellFormed() {
         return wellFormed;
@@ -99,12 +106,15 @@
     }
 
     /**
-     * Returns the head as Undertow gets it: a well-formed one without its query, from which Undertow would build a map
-     * with up to a thousand entries.
+     * Returns the head as Undertow gets it: without its query, from which Undertow would build a map with up to a
+     * thousand entries. A head that is not well-formed is replaced, so that Undertow cannot understand it in a way of
+     * its own.
      */
     byte[] forParser() {
-        String forwarded =
-                wellFormed ? method + " " + path() + " " + version + "\r\n" + text.substring(headersStart) : text;
-        return forwarded.getBytes(StandardCharsets.ISO_8859_1);
+        if (!wellFormed) {
+            return REJECTED.clone();
+        }
+        String withoutQuery = method + " " + path() + " " + version + "\r\n" + text.substring(headersStart);
+        return withoutQuery.getBytes(StandardCharsets.ISO_8859_1);
     }
 }
--- a/src/main/java/gatelock/http/RequestReader.java
+++ b/src/main/java/gatelock/http/RequestReader.java
@@ -207,9 +207,9 @@
 
     private void accept(HttpServerExchange exchange, Admission.MatchedRoute matchedRoute, int route, byte[] body) {
         String id = exchange.getRequestHeaders().getFirst(RequestHeaders.TRACE_ID);
-        if (!clientListener.isClientConnected(exchange)) {
+        if (clientListener.presenceOf(exchange) != ClientPresence.CONNECTED) {
             counters.increment("not taken, client left");
-            clientListener.clientDisconnected(exchange);
+            exchange.dispatch(SameThreadExecutor.INSTANCE, () -> clientListener.disconnect(exchange));
             return;
         }
         boolean repeatable = names.routePolicies().get(route).retrySafety() != RoutePolicy.RetrySafety.NON_RETRIABLE;
--- a/src/main/java/gatelock/state/ClientCloseReason.java
+++ b/src/main/java/gatelock/state/ClientCloseReason.java
@@ -20,6 +20,8 @@
     SHUTDOWN("clients closed, leaving"),
     /** A request was rejected before it was read completely. */
     REJECTED("clients closed, refused"),
+    /** It sent more behind a request than the relay reads ahead, so that a close behind it would not be seen. */
+    SENT_TOO_FAR_AHEAD("clients closed, sent too far ahead"),
     /** Handling its request or writing the response has thrown an unexpected exception. */
     FAILED("clients closed, failed"),
     /** The client closed the connection or aborted its request. */
@@ -41,7 +43,7 @@
      * response any more or cannot be sent one.
      */
     boolean appliesInAnyState() {
-        return this == CLIENT_DISCONNECTED || this == REJECTED || this == FAILED;
+        return this == CLIENT_DISCONNECTED || this == SENT_TOO_FAR_AHEAD || this == REJECTED || this == FAILED;
     }
 
     /** Returns the reason for closing a connection that timed out in a state. */
--- a/src/main/java/gatelock/state/ClientConnections.java
+++ b/src/main/java/gatelock/state/ClientConnections.java
@@ -39,10 +39,15 @@
      */
     public static final long IDLE_TIMEOUT_US = 2_000_000;
     /**
-     * As long as there are others, a connection without a complete request is evicted only if it is older than this:
-     * ordinary clients send their request sooner.
+     * Up to the hard limit, a connection that awaits its first request is evicted only if it is older than this:
+     * ordinary clients send their first request sooner.
      */
     private static final long EVICTION_MIN_AGE_US = 300_000;
+    /**
+     * Above the hard limit the same, but shorter. It bounds how often clients that come again as soon as they are
+     * evicted can do so.
+     */
+    private static final long EVICTION_MIN_AGE_OVER_HARD_LIMIT_US = 100_000;
     /** The maximum number of connections that one eviction examines; if none of them may be closed, none is evicted. */
     private static final int MAX_EVICTION_CANDIDATES = 8;
 
@@ -219,32 +224,44 @@
     }
 
     /**
-     * Evicts at most one connection if there are too many. Guards against connections that prevent others from being
-     * accepted, and against clients that keep opening connections. Above the soft limit, connections that have waited
-     * for their first request for some time are evicted first, then idle ones. If there are none and the hard limit is
-     * exceeded, the next are those whose request has been incomplete for some time, then any without a complete request,
-     * and at last those that have not read their response for some time. Within each group the oldest is evicted first.
-     * A client whose request is slow to arrive while very many others connect may therefore be disconnected.
+     * Evicts connections if there are too many. Guards against connections that prevent others from being accepted, and
+     * against clients that keep opening connections. Above the soft limit, one is evicted: a connection that has waited
+     * for its first request for some time, or an idle one. Above the hard limit as many as there are too many: first
+     * those without a complete request, and then those that have not read their response for some time. The oldest are
+     * evicted first. A client whose request is slow to arrive while very many others connect may therefore be
+     * disconnected, but not before it had a little time.
      */
     public void evictIfOverLimit(long nowUs) {
         if (entries.size() <= softLimit) {
             return;
         }
         long oldUs = nowUs - EVICTION_MIN_AGE_US;
-        boolean evicted = evictOldest(nowUs, AWAITING_FIRST_REQUEST, oldUs, ClientCloseReason.EVICTED_WITHOUT_REQUEST)
-                || evictOldest(nowUs, IDLE, nowUs, ClientCloseReason.EVICTED_IDLE);
-        if (!evicted && entries.size() > hardLimit) {
-            evictAboveHardLimit(nowUs, oldUs);
+        if (!evictOldest(nowUs, AWAITING_FIRST_REQUEST, oldUs, ClientCloseReason.EVICTED_WITHOUT_REQUEST)) {
+            evictOldest(nowUs, IDLE, nowUs, ClientCloseReason.EVICTED_IDLE);
+        }
+        boolean evicted = true;
+        while (evicted && isOverHardLimit()) {
+            evicted = evictOldestIncomplete(nowUs)
+                    || evictOldest(nowUs, WRITING_RESPONSE, oldUs, ClientCloseReason.RESPONSE_NOT_READ);
         }
     }
 
-    private void evictAboveHardLimit(long nowUs, long oldUs) {
-        boolean evicted = evictOldest(nowUs, READING_REQUEST, oldUs, ClientCloseReason.EVICTED_INCOMPLETE)
-                || evictOldest(nowUs, AWAITING_FIRST_REQUEST, nowUs, ClientCloseReason.EVICTED_WITHOUT_REQUEST)
-                || evictOldest(nowUs, READING_REQUEST, nowUs, ClientCloseReason.EVICTED_INCOMPLETE);
-        if (!evicted) {
-            evictOldest(nowUs, WRITING_RESPONSE, oldUs, ClientCloseReason.RESPONSE_NOT_READ);
-        }
+    /** Returns whether there are more connections than the hard limit. */
+    public boolean isOverHardLimit() {
+        return entries.size() > hardLimit;
+    }
+
+    /** Closes the connection that has been without a complete request longest, with or without a part of it. */
+    private boolean evictOldestIncomplete(long nowUs) {
+        long latestSinceUs = nowUs - EVICTION_MIN_AGE_OVER_HARD_LIMIT_US;
+        return sinceUsOfOldest(READING_REQUEST) <= sinceUsOfOldest(AWAITING_FIRST_REQUEST)
+                ? evictOldest(nowUs, READING_REQUEST, latestSinceUs, ClientCloseReason.EVICTED_INCOMPLETE)
+                : evictOldest(nowUs, AWAITING_FIRST_REQUEST, latestSinceUs, ClientCloseReason.EVICTED_WITHOUT_REQUEST);
+    }
+
+    private long sinceUsOfOldest(ClientConnectionState state) {
+        Iterator<C> oldest = byState.get(state).iterator();
+        return oldest.hasNext() ? entries.get(oldest.next()).sinceUs : Long.MAX_VALUE;
     }
 
     /**
