Let the buffer of a body grow with what arrives, and play clients that are slow, leave or flood

Cause: maps of fields, parameters and cookies were built while a head arrived and kept; a body had its declared length of memory from the start.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 .PHONY: build demo test format lint run measure-plan measure-swarm measure-sessions measure-fleet scale \
-	measure-membership measure-list capacity measure-capacity
+	measure-membership measure-list measure-pressure capacity measure-capacity
 
 build:
 	mvn -B -q -DskipTests package
@@ -79,6 +79,14 @@
 	mvn -B -q -DskipTests package dependency:build-classpath -Dmdep.outputFile=target/test.classpath
 	java -Ddeploy=$(DEPLOY) -cp "target/classes:target/test-classes:$$(cat target/test.classpath)" gatelock.standin.EndpointListBenchmark $(ROWS)
 
+# Plays clients that are slow, leave or flood on relays with the limits at the ends of their ranges. SECONDS and SEED of
+# each play, KINDS names some of them.
+SECONDS ?= 30
+SEED ?= 1
+measure-pressure:
+	mvn -B -q -DskipTests package dependency:build-classpath -Dmdep.outputFile=target/test.classpath
+	java -cp "target/classes:target/test-classes:$$(cat target/test.classpath)" gatelock.standin.ClientPressurePlay $(SECONDS) $(SEED) $(KINDS)
+
 # Generates the tables and the chart of docs/CAPACITY.md from the files in docs/capacity/.
 capacity:
 	mvn -B -q -DskipTests package dependency:build-classpath -Dmdep.outputFile=target/test.classpath
--- a/src/main/java/gatelock/http/BodyReader.java
+++ b/src/main/java/gatelock/http/BodyReader.java
@@ -12,7 +12,7 @@
  * third of the processing time.
  */
 final class BodyReader implements ChannelListener<StreamSourceChannel> {
-    private static final int INITIAL_CHUNKED_BUFFER_BYTES = 1024;
+    private static final int INITIAL_BUFFER_BYTES = 1024;
 
     /** Receives the outcome. Exactly one method is called, once; {@link #onFailed} also if another one has thrown. */
     interface Listener {
@@ -40,8 +40,10 @@
      */
     BodyReader(int length, Listener listener) {
         this.listener = listener;
-        // One byte more than declared, so that the end of the body is detected without growing the buffer.
-        this.buffer = ByteBuffer.allocate(length < 0 ? INITIAL_CHUNKED_BUFFER_BYTES : length + 1);
+        // One byte more than declared, so that the end of a short body is detected without growing the buffer. It grows
+        // with what has arrived, as a client may stop after it has declared a long body.
+        this.buffer =
+                ByteBuffer.allocate(length < 0 ? INITIAL_BUFFER_BYTES : Math.min(length + 1, INITIAL_BUFFER_BYTES));
     }
 
     @Override
@@ -71,7 +73,8 @@
                 return;
             }
             if (!buffer.hasRemaining()) {
-                buffer = ByteBuffer.allocate(buffer.capacity() * 2).put(buffer.flip());
+                buffer = ByteBuffer.allocate(Math.min(buffer.capacity() * 2, ResponseReader.MAX_BODY_BYTES + 1))
+                        .put(buffer.flip());
             }
             count = channel.read(buffer);
         }
--- a/src/test/java/gatelock/standin/FakeDeployment.java
+++ b/src/test/java/gatelock/standin/FakeDeployment.java
@@ -7,6 +7,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -20,6 +22,15 @@
     private static final String RELEASED_STATE =
             "{\"release\":1,\"tranche\":0,\"mode\":\"released\",\"exposure\":1.0,\"old_ms\":60000}";
 
+    /**
+     * A request that reached an endpoint.
+     *
+     * @param traceId the id of the request
+     * @param atNs time of System.nanoTime
+     */
+    public record Execution(String traceId, long atNs) {}
+
+    private final Queue<Execution> executions = new ConcurrentLinkedQueue<>();
     private final ExecutorService threads = LoopbackHttpServer.daemonThreads("deployment");
     private final List<HttpServer> servers = new ArrayList<>();
     private final List<HttpServer> endpoints = new ArrayList<>();
@@ -64,6 +75,7 @@
         HttpServer endpoint = start();
         endpoint.createContext("/", call -> {
             call.getRequestBody().readAllBytes();
+            executions.add(new Execution(call.getRequestHeaders().getFirst("X-Trace-Id"), System.nanoTime()));
             sleep(workMs);
             requestCount.incrementAndGet();
             LoopbackHttpServer.respond(
@@ -104,6 +116,11 @@
         return LoopbackHttpServer.address(endpoints.get(endpoint));
     }
 
+    /** Returns all requests that have reached any endpoint. */
+    public Queue<Execution> executions() {
+        return executions;
+    }
+
     /** Returns the number of requests that an endpoint has served. */
     public long requestCount(int endpoint) {
         return requestCounts.get(endpoint).get();
--- a/src/test/java/gatelock/standin/RelayProcess.java
+++ b/src/test/java/gatelock/standin/RelayProcess.java
@@ -73,11 +73,38 @@
     static RelayProcess start(
             Path directory, int port, String configuration, List<String> flags, List<String> arguments)
             throws IOException {
+        return start(directory, port, configuration, flags, List.of("-jar", "target/gatelock.jar"), arguments);
+    }
+
+    /**
+     * Starts a relay with the platform's flags from the classes that the tests are compiled against, not from the jar.
+     *
+     * @param directory where the configuration and the log are written
+     * @param port port on which clients connect
+     * @param configuration text of the configuration, which must name the same port
+     */
+    public static RelayProcess startFromClasses(Path directory, int port, String configuration) throws IOException {
+        List<String> flags = flags().stream()
+                .filter(flag -> !flag.startsWith("-XX:SharedArchiveFile"))
+                .toList();
+        List<String> program = List.of("-cp", System.getProperty("java.class.path"), "gatelock.boot.Main");
+        return start(directory, port, configuration, flags, program, List.of());
+    }
+
+    private static RelayProcess start(
+            Path directory,
+            int port,
+            String configuration,
+            List<String> flags,
+            List<String> program,
+            List<String> arguments)
+            throws IOException {
         Path config = directory.resolve("relay-" + port + ".json");
         Files.writeString(config, configuration);
         List<String> command = new ArrayList<>(List.of(jdkTool("java")));
         command.addAll(flags);
-        command.addAll(List.of("-jar", "target/gatelock.jar", "serve"));
+        command.addAll(program);
+        command.add("serve");
         command.addAll(arguments);
         Path log = directory.resolve("relay-" + port + ".log");
         ProcessBuilder builder =
@@ -142,8 +169,24 @@
         return memoryMb("VmRSS");
     }
 
+    /** Stops the process for a time, as a machine that is late does. */
+    void pause(long ms) throws IOException, InterruptedException {
+        signal("STOP");
+        TimeUnit.MILLISECONDS.sleep(ms);
+        signal("CONT");
+    }
+
+    private void signal(String name) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + name, "" + process.pid()).start().waitFor();
+    }
+
+    /** Returns whether the process has not ended. */
+    public boolean isAlive() {
+        return process.isAlive();
+    }
+
     /** Returns the peak resident memory so far. */
-    double peakResidentMb() throws IOException {
+    public double peakResidentMb() throws IOException {
         return memoryMb("VmHWM");
     }
 
