--- a/src/main/java/gatelock/http/ClientListener.java
+++ b/src/main/java/gatelock/http/ClientListener.java
@@ -7,20 +7,14 @@
 import gatelock.state.ClientSockets;
 import gatelock.state.Counters;
 import io.undertow.UndertowOptions;
-import io.undertow.connector.PooledByteBuffer;
 import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.protocol.http.HttpOpenListener;
-import io.undertow.server.protocol.http.HttpServerConnection;
-import io.undertow.util.Headers;
-import io.undertow.util.SameThreadExecutor;
 import io.undertow.util.StatusCodes;
 import java.io.IOException;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
-import java.util.HashMap;
-import java.util.Map;
 import org.xnio.ChannelListener;
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
@@ -28,7 +22,6 @@
 import org.xnio.Options;
 import org.xnio.StreamConnection;
 import org.xnio.channels.AcceptingChannel;
-import org.xnio.channels.StreamSinkChannel;
 
 /**
  * Accepts client connections. Limits their number and the time that an incomplete request may take, answers health
@@ -46,13 +39,6 @@
     private static final long EVICTION_INTERVAL_US = 10_000;
 
     private static final long CHECK_INTERVAL_US = 50_000;
-    /**
-     * How long the connection stays open after an incomplete request is rejected, so that the client can read the
-     * response.
-     */
-    private static final long REJECTION_LINGER_US = 500_000;
-    /** How long the next request on a connection is delayed after one that the relay has answered by itself. */
-    private static final long REJECTION_PAUSE_US = 10_000;
     /** How long new connections are accepted after SIGTERM. */
     private static final long ACCEPT_AFTER_SIGTERM_US = 600_000;
     /** The response to the last request must be written this long before the process may be killed. */
@@ -67,7 +53,7 @@
     private final EventLoop eventLoop;
     private final int hardLimit;
     private final ClientConnections<StreamConnection> connections;
-    private final Map<StreamConnection, ClientReadConduit> readConduits = new HashMap<>();
+    private final ClientExchanges exchanges;
     private AcceptingChannel<StreamConnection> acceptor;
     private HttpHandler requestHandler;
     private boolean ready;
@@ -92,13 +78,14 @@
         this.eventLoop = eventLoop;
         this.hardLimit = hardLimit;
         this.connections = new ClientConnections<>(counters, new Sockets(), softLimit, hardLimit);
+        this.exchanges = new ClientExchanges(eventLoop, connections);
     }
 
     /** Gives the connection limits access to the sockets of the clients. */
     private final class Sockets implements ClientSockets<StreamConnection> {
         @Override
         public boolean hasUnreadBytes(StreamConnection connection) {
-            return readConduits.get(connection).hasUnreadBytes();
+            return exchanges.hasUnreadBytes(connection);
         }
 
         @Override
@@ -144,16 +131,18 @@
         return acceptor.getLocalAddress(InetSocketAddress.class);
     }
 
+    /** Returns the exchanges on the client connections. */
+    ClientExchanges exchanges() {
+        return exchanges;
+    }
+
     /** Returns the number of client connections. */
     public int size() {
         return connections.size();
     }
 
     private void onAccepted(StreamConnection connection, HttpOpenListener httpListener) {
-        ClientReadConduit readConduit = new ClientReadConduit(
-                connection.getSourceChannel().getConduit(), () -> connections.bytesRead(eventLoop.nowUs(), connection));
-        connection.getSourceChannel().setConduit(readConduit);
-        readConduits.put(connection, readConduit);
+        exchanges.add(connection);
         connections.accepted(eventLoop.nowUs(), connection);
         httpListener.handleEvent(connection);
         // Undertow has already set a close listener, which must still be called.
@@ -185,11 +174,7 @@
 
     private void remove(StreamConnection connection) {
         connections.remove(connection);
-        readConduits.remove(connection);
-    }
-
-    private static StreamConnection connectionOf(HttpServerExchange exchange) {
-        return ((HttpServerConnection) exchange.getConnection()).getChannel();
+        exchanges.remove(connection);
     }
 
     /**
@@ -207,28 +192,18 @@
         try {
             handleRequest(exchange);
         } catch (Exception | Error e) {
-            endAfterFailure(exchange, e);
+            exchanges.endAfterFailure(exchange, e);
         }
     }
 
     private void handleRequest(HttpServerExchange exchange) throws Exception {
-        ClientReadConduit readConduit = readConduits.get(connectionOf(exchange));
-        exchange.addExchangeCompleteListener((completed, next) -> {
-            readConduit.awaitHead();
-            next.proceed();
-        });
-        RequestHead head = readConduit.head();
-        if (!head.isWellFormed()) {
-            reject(exchange, StatusCodes.BAD_REQUEST);
-            return;
-        }
+        exchanges.begin(exchange);
         String path = exchange.getRequestPath();
-        if (path.startsWith(INTERNAL_PREFIX)) {
-            respond(exchange, healthStatus(path));
+        if (!exchanges.headOf(exchange).isWellFormed()) {
+            exchanges.reject(exchange, StatusCodes.BAD_REQUEST);
+        } else if (path.startsWith(INTERNAL_PREFIX)) {
+            exchanges.respond(exchange, healthStatus(path));
         } else {
-            // A pipelined request may have been read together with the previous one, without a read that the conduit
-            // reports.
-            connections.bytesRead(eventLoop.nowUs(), connectionOf(exchange));
             requestHandler.handleRequest(exchange);
         }
     }
@@ -241,158 +216,6 @@
         };
     }
 
-    /** Returns the head of a request as the client wrote it. */
-    RequestHead headOf(HttpServerExchange exchange) {
-        return readConduits.get(connectionOf(exchange)).head();
-    }
-
-    /** Reads ahead what has arrived behind a request, and returns what is known of its client. */
-    ClientPresence presenceOf(HttpServerExchange exchange) {
-        ClientReadConduit readConduit = readConduits.get(connectionOf(exchange));
-        if (readConduit == null) {
-            return ClientPresence.LEFT;
-        }
-        takeBackOverread(exchange);
-        return readConduit.readAhead();
-    }
-
-    /**
-     * Takes back what Undertow has read behind a chunked body, so that it is read as the next request.
-     */
-    private void takeBackOverread(HttpServerExchange exchange) {
-        HttpServerConnection connection = (HttpServerConnection) exchange.getConnection();
-        PooledByteBuffer overread = connection.getExtraBytes();
-        if (overread != null) {
-            connection.setExtraBytes(null);
-            readConduits.get(connection.getChannel()).unread(overread.getBuffer());
-            overread.close();
-        }
-    }
-
-    /** Called when a request has been read completely. Its connection stays open until the response is written. */
-    void requestCompleted(HttpServerExchange exchange) {
-        connections.requestCompleted(eventLoop.nowUs(), connectionOf(exchange));
-    }
-
-    /**
-     * Called when the response of an exchange is about to be written. After it is written, the connection waits for the
-     * next request, or is closed if the relay is draining.
-     */
-    void responseStarted(HttpServerExchange exchange) {
-        StreamConnection connection = connectionOf(exchange);
-        connections.responseStarted(eventLoop.nowUs(), connection);
-        exchange.addExchangeCompleteListener((completed, next) -> {
-            ClientReadConduit readConduit = readConduits.get(connection);
-            boolean pipelined = readConduit != null && readConduit.hasBufferedBytes();
-            connections.responseWritten(eventLoop.nowUs(), connection, pipelined);
-            next.proceed();
-        });
-        if (draining) {
-            exchange.setPersistent(false);
-            exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
-        }
-    }
-
-    /** Called when a connection has been upgraded to another protocol. The listener does not limit it any more. */
-    void connectionUpgraded(HttpServerExchange exchange) {
-        StreamConnection connection = connectionOf(exchange);
-        readConduits.get(connection).upgrade();
-        connections.remove(connection);
-    }
-
-    /** Called when the client has closed its connection or aborted its own request. */
-    void clientDisconnected(HttpServerExchange exchange) {
-        connections.close(eventLoop.nowUs(), connectionOf(exchange), ClientCloseReason.CLIENT_DISCONNECTED);
-    }
-
-    /**
-     * Stops to read from a client whose request waits for nothing any more, and closes its connection: at once if the
-     * client has left, otherwise after a while, so that a client that sends at full speed cannot do so again at once.
-     */
-    void disconnect(HttpServerExchange exchange) {
-        if (presenceOf(exchange) == ClientPresence.LEFT) {
-            clientDisconnected(exchange);
-            return;
-        }
-        StreamConnection connection = connectionOf(exchange);
-        connection.getSourceChannel().suspendReads();
-        eventLoop.schedule(
-                REJECTION_LINGER_US,
-                () -> connections.close(eventLoop.nowUs(), connection, ClientCloseReason.SENT_TOO_FAR_AHEAD));
-    }
-
-    /**
-     * Ends an exchange in which an unexpected exception was thrown: responds with an error, or closes the connection if
-     * a response has started, as the client must not take a truncated response for a complete one.
-     */
-    void endAfterFailure(HttpServerExchange exchange, Throwable failure) {
-        LOG.log(Level.ERROR, "unexpected exception, the request is ended", failure);
-        StreamConnection connection = connectionOf(exchange);
-        try {
-            if (!exchange.isResponseStarted() && !connections.isWritingResponse(connection)) {
-                exchange.getResponseHeaders().clear();
-                reject(exchange, StatusCodes.INTERNAL_SERVER_ERROR);
-                return;
-            }
-        } catch (RuntimeException | Error e) {
-            eventLoop.logUnexpected(e);
-        }
-        connections.close(eventLoop.nowUs(), connection, ClientCloseReason.FAILED);
-        // The connection is not among the connections any more if it was being upgraded.
-        IoUtils.safeClose(connection);
-    }
-
-    /**
-     * Delays the next request on a connection. Guards against a client that takes the processing time of others with
-     * requests that are answered at once.
-     */
-    private void pauseReads(StreamConnection connection) {
-        ClientReadConduit readConduit = readConduits.get(connection);
-        if (readConduit != null) {
-            readConduit.pause();
-            eventLoop.schedule(REJECTION_PAUSE_US, readConduit::endPause);
-        }
-    }
-
-    /** Responds to a request that is not accepted, whether or not it has been read completely. */
-    void reject(HttpServerExchange exchange, int status) {
-        respond(exchange, status);
-    }
-
-    /** Responds without a body to a request that no endpoint gets, whether or not it has been read completely. */
-    private void respond(HttpServerExchange exchange, int status) {
-        exchange.setStatusCode(status);
-        if (exchange.isRequestComplete()) {
-            pauseReads(connectionOf(exchange));
-            responseStarted(exchange);
-            exchange.endExchange();
-        } else {
-            exchange.dispatch(SameThreadExecutor.INSTANCE, () -> rejectUnread(exchange));
-        }
-    }
-
-    /**
-     * Responds to an incomplete request that will not be read, with the status that is set on the exchange. Undertow
-     * would read the rest of the request before it responds. Here the response is sent first, the rest is not read, and
-     * the connection is closed shortly afterwards.
-     */
-    private void rejectUnread(HttpServerExchange exchange) {
-        exchange.setPersistent(false);
-        exchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, "0");
-        responseStarted(exchange);
-        StreamConnection connection = connectionOf(exchange);
-        eventLoop.schedule(
-                REJECTION_LINGER_US,
-                () -> connections.close(eventLoop.nowUs(), connection, ClientCloseReason.REJECTED));
-        try {
-            StreamSinkChannel response = exchange.getResponseChannel();
-            response.shutdownWrites();
-            response.flush();
-        } catch (IOException e) {
-            connections.close(eventLoop.nowUs(), connection, ClientCloseReason.REJECTED);
-        }
-    }
-
     /**
      * Returns the time by which all accepted requests must be answered; {@link Long#MAX_VALUE} until the relay shuts
      * down.
@@ -418,8 +241,10 @@
             IoUtils.safeClose(acceptor);
             awaitLastConnection(onComplete);
         });
-        eventLoop.schedule(
-                Math.max(ACCEPT_AFTER_SIGTERM_US, timeToDeadlineUs - LAST_REQUEST_TIMEOUT_US), () -> draining = true);
+        eventLoop.schedule(Math.max(ACCEPT_AFTER_SIGTERM_US, timeToDeadlineUs - LAST_REQUEST_TIMEOUT_US), () -> {
+            draining = true;
+            exchanges.closeAfterResponse();
+        });
     }
 
     private void awaitLastConnection(Runnable onComplete) {
--- a/src/main/java/gatelock/http/HttpResponseSink.java
+++ b/src/main/java/gatelock/http/HttpResponseSink.java
@@ -19,14 +19,14 @@
     private static final byte[] NO_BODY = {};
 
     private final HttpServerExchange exchange;
-    private final ClientListener clientListener;
+    private final ClientExchanges exchanges;
     private final RequestAdmitter admitter;
     private InFlightRequest request;
     private Consumer<HttpServerExchange> sessionHandover;
 
-    HttpResponseSink(HttpServerExchange exchange, ClientListener clientListener, RequestAdmitter admitter) {
+    HttpResponseSink(HttpServerExchange exchange, ClientExchanges exchanges, RequestAdmitter admitter) {
         this.exchange = exchange;
-        this.clientListener = clientListener;
+        this.exchanges = exchanges;
         this.admitter = admitter;
     }
 
@@ -53,7 +53,7 @@
         }
         StreamSourceConduit source = connection.getOriginalSourceConduit();
         connection.getChannel().getSourceChannel().setReadListener(channel -> {
-            ClientPresence presence = clientListener.presenceOf(exchange);
+            ClientPresence presence = exchanges.presenceOf(exchange);
             if (request.isCompleted() || presence != ClientPresence.CONNECTED) {
                 source.suspendReads();
             }
@@ -66,7 +66,7 @@
 
     @Override
     public boolean isClientConnected() {
-        return clientListener.presenceOf(exchange) == ClientPresence.CONNECTED;
+        return exchanges.presenceOf(exchange) == ClientPresence.CONNECTED;
     }
 
     @Override
@@ -77,7 +77,7 @@
         try {
             admitter.clientDisconnected(request);
         } finally {
-            clientListener.disconnect(exchange);
+            exchanges.disconnect(exchange);
         }
         return true;
     }
@@ -89,7 +89,7 @@
 
     private void writeResponse(UpstreamResponse response) {
         if (sessionHandover != null) {
-            clientListener.connectionUpgraded(exchange);
+            exchanges.connectionUpgraded(exchange);
             sessionHandover.accept(exchange);
             return;
         }
@@ -130,12 +130,12 @@
         try {
             response.run();
         } catch (RuntimeException | Error e) {
-            clientListener.endAfterFailure(exchange, e);
+            exchanges.endAfterFailure(exchange, e);
         }
     }
 
     private void send(byte[] body) {
-        clientListener.responseStarted(exchange);
+        exchanges.responseStarted(exchange);
         if (body.length == 0) {
             exchange.endExchange();
         } else {
--- a/src/main/java/gatelock/http/RequestReader.java
+++ b/src/main/java/gatelock/http/RequestReader.java
@@ -77,6 +77,7 @@
     private final EventLoop eventLoop;
     private final RequestAdmitter admitter;
     private final ClientListener clientListener;
+    private final ClientExchanges exchanges;
     private final RequestFailureHandler failures;
     private final Admission admission;
     private final RequestValidator validator;
@@ -106,6 +107,7 @@
         this.eventLoop = eventLoop;
         this.admitter = admitter;
         this.clientListener = clientListener;
+        this.exchanges = clientListener.exchanges();
         this.failures = failures;
         this.admission = admission;
         this.validator = new RequestValidator(names);
@@ -188,12 +190,12 @@
             public void onAborted() {
                 // The request was never complete, so no response is owed.
                 counters.increment("not taken, broken off");
-                clientListener.clientDisconnected(exchange);
+                exchanges.clientDisconnected(exchange);
             }
 
             @Override
             public void onFailed(Throwable failure) {
-                clientListener.endAfterFailure(exchange, failure);
+                exchanges.endAfterFailure(exchange, failure);
             }
         });
         reader.handleEvent(exchange.getRequestChannel());
@@ -202,14 +204,14 @@
     /** Responds to a request that is not accepted, whether or not it has been read completely. */
     private void reject(HttpServerExchange exchange, int status) {
         counters.increment("not taken " + status);
-        clientListener.reject(exchange, status);
+        exchanges.reject(exchange, status);
     }
 
     private void accept(HttpServerExchange exchange, Admission.MatchedRoute matchedRoute, int route, byte[] body) {
         String id = exchange.getRequestHeaders().getFirst(RequestHeaders.TRACE_ID);
-        if (clientListener.presenceOf(exchange) != ClientPresence.CONNECTED) {
+        if (exchanges.presenceOf(exchange) != ClientPresence.CONNECTED) {
             counters.increment("not taken, client left");
-            exchange.dispatch(SameThreadExecutor.INSTANCE, () -> clientListener.disconnect(exchange));
+            exchange.dispatch(SameThreadExecutor.INSTANCE, () -> exchanges.disconnect(exchange));
             return;
         }
         boolean repeatable = names.routePolicies().get(route).retrySafety() != RoutePolicy.RetrySafety.NON_RETRIABLE;
@@ -217,11 +219,11 @@
             reject(exchange, StatusCodes.BAD_REQUEST);
             return;
         }
-        HttpResponseSink responseSink = new HttpResponseSink(exchange, clientListener, admitter);
+        HttpResponseSink responseSink = new HttpResponseSink(exchange, exchanges, admitter);
         long deadlineUs = deadlineUs(exchange, route);
         boolean opensSession = isSessionRequest(exchange, matchedRoute);
         byte[] head = ForwardedRequestHead.of(
-                exchange.getRequestMethod(), clientListener.headOf(exchange), body.length, opensSession);
+                exchange.getRequestMethod(), exchanges.headOf(exchange), body.length, opensSession);
         InFlightRequest request = new InFlightRequest(id, head, body, deadlineUs, responseSink);
         responseSink.bind(request);
         if (opensSession) {
@@ -229,7 +231,7 @@
         }
         RequestProfile profile = profile(exchange, route);
         // From here on each exception has to be attributed to the request, so that it is answered exactly once.
-        clientListener.requestCompleted(exchange);
+        exchanges.requestCompleted(exchange);
         // Undertow ends an exchange whose handler returns without dispatching it.
         exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
             admitter.admit(request, matchedRoute, profile);
--- a/src/test/java/gatelock/http/ClientListenerTest.java
+++ b/src/test/java/gatelock/http/ClientListenerTest.java
@@ -38,8 +38,8 @@
             InetSocketAddress address = listener.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
             listener.setRequestHandler(
                     exchange -> {
-                        listener.requestCompleted(exchange);
-                        listener.responseStarted(exchange);
+                        listener.exchanges().requestCompleted(exchange);
+                        listener.exchanges().responseStarted(exchange);
                         exchange.getResponseSender().send("fine");
                     },
                     true);
