Accept 8 connections beyond the hard limit again; test messages that arrive with the handshakes

With 16 a process with 256 descriptors could come closer to its limit than before. The pace of eviction stays. ClientConnectionLimitsTest passes as before.

WebSocketSessionTest.relaysMessagesThatArriveTogetherWithTheHandshakes covers the bytes that are handed over with a connection, on both sides; it passes.

--- a/src/main/java/gatelock/http/ClientListener.java
+++ b/src/main/java/gatelock/http/ClientListener.java
@@ -34,7 +34,7 @@
     private static final int MAX_POOLED_BUFFERS = 200;
     private static final int ACCEPT_BACKLOG = 512;
     /** The number of connections that are accepted beyond the hard limit, so that eviction can make room for them. */
-    private static final int ACCEPT_MARGIN = 16;
+    private static final int ACCEPT_MARGIN = 8;
     /** The time between two evictions while there are more connections than the hard limit. */
     private static final long EVICTION_INTERVAL_US = 10_000;
 
--- a/src/test/java/gatelock/WebSocketSessionTest.java
+++ b/src/test/java/gatelock/WebSocketSessionTest.java
@@ -4,7 +4,9 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import gatelock.standin.BackgroundTask;
+import gatelock.standin.RawHttp;
 import gatelock.standin.WebSocketPeer;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -66,6 +68,36 @@
         }
     }
 
+    /** Guards against messages that are lost because they are read together with the head before them. */
+    @Test
+    void relaysMessagesThatArriveTogetherWithTheHandshakes() throws Exception {
+        webSocketEndpoint.greet("welcome");
+        try (WebSocketPeer client = open("greeted")) {
+            assertThat(client.readMessage().text()).isEqualTo("welcome");
+            assertEchoed(client, "hello");
+        }
+        webSocketEndpoint.greet("again");
+        try (Socket socket = relay.connect()) {
+            String opening = String.join(
+                    "\r\n",
+                    "GET /read/early HTTP/1.1",
+                    "Host: x",
+                    "X-Trace-Id: early",
+                    "Upgrade: websocket",
+                    "Connection: Upgrade",
+                    "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==",
+                    "Sec-WebSocket-Version: 13",
+                    "",
+                    "");
+            // A text frame with the mask 0 right behind the opening.
+            RawHttp.write(socket, opening + "\u0081\u0085\0\0\0\0early");
+            assertThat(RawHttp.readHead(socket).head()).startsWith("HTTP/1.1 101");
+            WebSocketPeer client = new WebSocketPeer(socket, true);
+            assertThat(client.readMessage().text()).isEqualTo("again");
+            assertThat(client.readMessage().text()).isEqualTo("early");
+        }
+    }
+
     @Test
     void closesOnlySessionThatExceedsFrameRate() throws Exception {
         try (WebSocketPeer client = open("flood");
--- a/src/test/java/gatelock/standin/RawHttp.java
+++ b/src/test/java/gatelock/standin/RawHttp.java
@@ -46,7 +46,7 @@
     }
 
     /** Reads the first line and the headers, or returns null at the end of the connection. */
-    static HttpMessage readHead(Socket socket) throws IOException {
+    public static HttpMessage readHead(Socket socket) throws IOException {
         InputStream in = socket.getInputStream();
         ByteArrayOutputStream head = new ByteArrayOutputStream();
         while (!head.toString(StandardCharsets.ISO_8859_1).endsWith("\r\n\r\n")) {
--- a/src/test/java/gatelock/standin/WebSocketEndpoint.java
+++ b/src/test/java/gatelock/standin/WebSocketEndpoint.java
@@ -36,6 +36,7 @@
     private final List<Socket> sockets = new CopyOnWriteArrayList<>();
     private volatile boolean rejectsRequests;
     private volatile boolean echoesMessages = true;
+    private volatile String greeting = "";
 
     /** Starts an endpoint that accepts sessions and echoes their messages. */
     public WebSocketEndpoint() throws IOException {
@@ -79,6 +80,11 @@
         return received;
     }
 
+    /** From now on sends this short text message together with the response to each opening handshake. */
+    public void greet(String text) {
+        greeting = (char) (WebSocketPeer.FINAL | WebSocketPeer.TEXT) + "" + (char) text.length() + text;
+    }
+
     /** Returns the endpoint's side of the next session that is opened; fails if none is opened within 20 s. */
     public WebSocketPeer awaitSession() throws InterruptedException {
         WebSocketPeer session = openedSessions.poll(SESSION_TIMEOUT_S, TimeUnit.SECONDS);
@@ -110,7 +116,7 @@
         RawHttp.write(
                 socket,
                 "HTTP/1.1 101 Switching Protocols\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
-                        + "Sec-WebSocket-Accept: " + accept(key) + "\r\n\r\n");
+                        + "Sec-WebSocket-Accept: " + accept(key) + "\r\n\r\n" + greeting);
         WebSocketPeer session = new WebSocketPeer(socket, false);
         openedSessions.add(session);
         if (echoesMessages) {
