--- a/src/test/java/gatelock/ClientPressureTest.java
+++ b/src/test/java/gatelock/ClientPressureTest.java
@@ -39,9 +39,10 @@
     }
 
     private void assertServesOrdinaryClients(ClientPressure.Kind kind, String limits) throws Exception {
-        int port = RelayProcess.freePort();
         String example = Files.readString(Path.of("examples/relay.json"));
         try (FakeDeployment deployment = new FakeDeployment(ENDPOINTS, WORK_MS)) {
+            // After the deployment has its ports: a port that was free before may be one of them.
+            int port = RelayProcess.freePort();
             String configuration = deployment
                     .configuration(example, "127.0.0.1:" + port)
                     .replaceFirst("\"cores\": 1.0, \"memory_mb\": 192, \"sockets\": 1024", limits);
