--- a/Makefile
+++ b/Makefile
@@ -80,12 +80,14 @@
 	java -Ddeploy=$(DEPLOY) -cp "target/classes:target/test-classes:$$(cat target/test.classpath)" gatelock.standin.EndpointListBenchmark $(ROWS)
 
 # Plays clients that are slow, leave or flood on relays with the limits at the ends of their ranges. SECONDS and SEED of
-# each play, KINDS names some of them.
+# each play, KINDS names some of them; CORES below 1 lets each relay run only for that part of the time.
+CORES ?= 1
 SECONDS ?= 30
 SEED ?= 1
 measure-pressure:
 	mvn -B -q -DskipTests package dependency:build-classpath -Dmdep.outputFile=target/test.classpath
-	java -cp "target/classes:target/test-classes:$$(cat target/test.classpath)" gatelock.standin.ClientPressurePlay $(SECONDS) $(SEED) $(KINDS)
+	java -Dcores=$(CORES) -cp "target/classes:target/test-classes:$$(cat target/test.classpath)" \
+		gatelock.standin.ClientPressurePlay $(SECONDS) $(SEED) $(KINDS)
 
 # Generates the tables and the chart of docs/CAPACITY.md from the files in docs/capacity/.
 capacity:
--- a/src/test/java/gatelock/ClientPressureTest.java
+++ b/src/test/java/gatelock/ClientPressureTest.java
@@ -54,6 +54,7 @@
                 assertThat(outcome.sentAfterClose()).isEmpty();
                 assertThat(outcome.ranTwice()).isEmpty();
                 assertThat(outcome.keptWaiting()).isZero();
+                assertThat(outcome.withoutId()).isEmpty();
                 assertThat(relay.peakResidentMb()).isLessThan(MOST_MEMORY_MB);
                 assertThat(relay.log()).doesNotContain("OutOfMemoryError").doesNotContain("nexpected");
             }
--- a/src/test/java/gatelock/standin/ClientPressure.java
+++ b/src/test/java/gatelock/standin/ClientPressure.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
@@ -24,12 +25,16 @@
 public final class ClientPressure {
     /** What the clients that are not ordinary do. */
     public enum Kind {
+        /** Nothing: only ordinary clients, to compare with. */
+        ORDINARY_ONLY,
         /** Hundreds of clients write slowly, stop in the middle of a body, or send heads of very many short fields. */
         SLOW,
         /** Hundreds of clients send the largest heads, of very many short parts, and stop just before the end. */
         LARGE_HEADS,
         /** Hundreds of clients send large requests as a whole, as fast as they are answered. */
         LARGE_REQUESTS,
+        /** The same, slowly answered by the endpoints, with more behind each request, and long responses not read. */
+        LARGE_REQUESTS_AND_RESPONSES,
         /** Clients close their connections with many requests unread, and come again with an id of these. */
         LEAVING,
         /** The same while the relay does not run for 0.3 s at a time, so that closes arrive before requests are read. */
@@ -53,6 +58,7 @@
      * @param sentAfterClose requests that reached an endpoint well after their client had closed
      * @param ranTwice requests of a class that must not run twice that reached endpoints more than once
      * @param keptWaiting clients under no rule that had neither an error nor a close in the time that they are owed one
+     * @param withoutId requests that reached an endpoint without an id, which no client sends
      */
     public record Outcome(
             int asked,
@@ -60,7 +66,8 @@
             long worstMs,
             List<String> sentAfterClose,
             Set<String> ranTwice,
-            int keptWaiting) {}
+            int keptWaiting,
+            List<String> withoutId) {}
 
     private static final int MANY_CLIENTS = 400;
     private static final int LEAVING_CLIENTS = 6;
@@ -76,6 +83,10 @@
 
     private static final int MAX_BODY_BYTES = 60_000;
 
+    /** Just less than what is read ahead behind a request that waits for its response. */
+    private static final int MAX_BEHIND_BYTES = 16_000;
+
+    private static final int SMALL_RECEIVE_BUFFER_BYTES = 2_048;
     private static final int PAUSE_MS = 300;
 
     private final RelayProcess relay;
@@ -100,7 +111,8 @@
         SplittableRandom random = new SplittableRandom(seed);
         int count =
                 switch (kind) {
-                    case SLOW, LARGE_HEADS, LARGE_REQUESTS -> MANY_CLIENTS;
+                    case ORDINARY_ONLY -> 0;
+                    case SLOW, LARGE_HEADS, LARGE_REQUESTS, LARGE_REQUESTS_AND_RESPONSES -> MANY_CLIENTS;
                     case LEAVING, LEAVING_DURING_PAUSES -> LEAVING_CLIENTS;
                     default -> 1;
                 };
@@ -144,7 +156,14 @@
                 ranTwice.add(execution.traceId());
             }
         }
-        return new Outcome(asked, unanswered.get(), worstMs.get(), sentAfterClose, ranTwice, keptWaiting.get());
+        return new Outcome(
+                asked,
+                unanswered.get(),
+                worstMs.get(),
+                sentAfterClose,
+                ranTwice,
+                keptWaiting.get(),
+                List.copyOf(deployment.requestsWithoutId()));
     }
 
     private void repeat(BackgroundTask.Work work) {
@@ -192,9 +211,11 @@
 
     private void play(Kind kind, int number, SplittableRandom random) throws Exception {
         switch (kind) {
+            case ORDINARY_ONLY -> {}
             case SLOW -> writeSlowly(number);
             case LARGE_HEADS -> stopBeforeEnd(number);
             case LARGE_REQUESTS -> sendLargeRequest();
+            case LARGE_REQUESTS_AND_RESPONSES -> leaveLongResponseUnread();
             case LEAVING, LEAVING_DURING_PAUSES -> leaveWithRequestsUnread(random);
             case FLOOD_OF_REQUESTS -> flood(i -> get("/read/" + i, nextId("flood"), names(i)));
             case FLOOD_OF_UNSOUND_REQUESTS -> flood(ClientPressure::unsound);
@@ -260,6 +281,23 @@
         }
     }
 
+    private void leaveLongResponseUnread() throws Exception {
+        try (Socket socket = new Socket()) {
+            // Set before the connection is established, so that little of the response fits into the sockets.
+            socket.setReceiveBufferSize(SMALL_RECEIVE_BUFFER_BYTES);
+            socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), relay.port));
+            socket.setSoTimeout(OWED_MS);
+            String head = post(
+                    "/claim?work_ms=1500&response_bytes=60000&" + parameters(),
+                    nextId("once"),
+                    fields(),
+                    MAX_BODY_BYTES);
+            RawHttp.write(socket, head + "x".repeat(MAX_BODY_BYTES));
+            RawHttp.write(socket, "POST /claim HTTP/1.1\r\nX-Pad: " + "p".repeat(MAX_BEHIND_BYTES));
+            TimeUnit.MILLISECONDS.sleep(OWED_MS);
+        }
+    }
+
     private void writeByteByByte(Socket socket, String text) throws Exception {
         for (int i = 0; i < text.length() && !stopped; i++) {
             RawHttp.write(socket, text.substring(i, i + 1));
--- a/src/test/java/gatelock/standin/ClientPressurePlay.java
+++ b/src/test/java/gatelock/standin/ClientPressurePlay.java
@@ -8,7 +8,8 @@
 /**
  * Plays each kind of {@link ClientPressure} on a relay process with the platform's flags and limits at the ends of their
  * ranges, and prints what was seen. Not a test: run by {@code make measure-pressure}. Arguments: seconds for each play,
- * seed, then the kinds to play (all if none is given).
+ * seed, then the kinds to play (all if none is given). The property {@code cores} lets each relay run only for that part of
+ * the time.
  */
 public final class ClientPressurePlay {
     private static final int READY_MS = 30_000;
@@ -41,8 +42,8 @@
 
     private static void play(ClientPressure.Kind kind, Limits limits, int seconds, long seed) throws Exception {
         Path directory = Files.createTempDirectory("pressure");
-        int port = RelayProcess.freePort();
         try (FakeDeployment deployment = new FakeDeployment(ENDPOINTS, WORK_MS)) {
+            int port = RelayProcess.freePort();
             String configuration = deployment
                     .configuration(Files.readString(Path.of("examples/relay.json")), "127.0.0.1:" + port)
                     .replaceFirst(
@@ -51,6 +52,7 @@
                                     + ", \"sockets\": " + limits.sockets + "}");
             try (RelayProcess relay = RelayProcess.start(directory, port, configuration)) {
                 long readyMs = relay.awaitReadyMs(READY_MS);
+                relay.limitTo(Double.parseDouble(System.getProperty("cores", "1")));
                 double startMb = relay.residentMb();
                 long startCpuUs = relay.cpuUs();
                 ClientPressure.Outcome outcome = new ClientPressure(relay, deployment, seed).run(kind, seconds);
@@ -77,7 +79,8 @@
     private static String summary(ClientPressure.Outcome outcome) {
         return "asked " + outcome.asked() + ", unanswered " + outcome.unanswered() + ", worst " + outcome.worstMs()
                 + " ms, sent after close " + outcome.sentAfterClose().size() + ", ran twice "
-                + outcome.ranTwice().size() + ", kept waiting " + outcome.keptWaiting();
+                + outcome.ranTwice().size() + ", kept waiting " + outcome.keptWaiting() + ", without id "
+                + outcome.withoutId();
     }
 
     private static int count(String log, String text) {
--- a/src/test/java/gatelock/standin/FakeDeployment.java
+++ b/src/test/java/gatelock/standin/FakeDeployment.java
@@ -11,6 +11,8 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /**
  * Stand-ins for all peers of a relay with the configuration examples/relay.json: endpoints, discovery and the release
@@ -30,7 +32,11 @@
      */
     public record Execution(String traceId, long atNs) {}
 
+    private static final Pattern WORK_MS = Pattern.compile("work_ms=(\\d+)");
+    private static final Pattern RESPONSE_BYTES = Pattern.compile("response_bytes=(\\d+)");
+
     private final Queue<Execution> executions = new ConcurrentLinkedQueue<>();
+    private final Queue<String> requestsWithoutId = new ConcurrentLinkedQueue<>();
     private final ExecutorService threads = LoopbackHttpServer.daemonThreads("deployment");
     private final List<HttpServer> servers = new ArrayList<>();
     private final List<HttpServer> endpoints = new ArrayList<>();
@@ -47,9 +53,10 @@
     }
 
     /**
-     * Starts endpoints that wait before they answer a request.
+     * Starts endpoints that wait before they answer a request. The parameters {@code work_ms} and {@code
+     * response_bytes} of a request's query set its wait and the length of its response.
      *
-     * @param workMs the wait; 0 answers at once
+     * @param workMs the wait of other requests; 0 answers at once
      */
     public FakeDeployment(int endpointCount, long workMs) throws IOException {
         for (int i = 0; i < endpointCount; i++) {
@@ -75,15 +82,38 @@
         HttpServer endpoint = start();
         endpoint.createContext("/", call -> {
             call.getRequestBody().readAllBytes();
-            executions.add(new Execution(call.getRequestHeaders().getFirst("X-Trace-Id"), System.nanoTime()));
-            sleep(workMs);
+            record(name, call);
+            String query = String.valueOf(call.getRequestURI().getQuery());
+            sleep(parameter(WORK_MS, query, workMs));
             requestCount.incrementAndGet();
-            LoopbackHttpServer.respond(
-                    call, "unit " + name + " did " + call.getRequestMethod() + " " + call.getRequestURI() + "\n");
+            String response = "unit " + name + " did " + call.getRequestMethod() + " " + call.getRequestURI() + "\n";
+            int padding = (int) parameter(RESPONSE_BYTES, query, response.length()) - response.length();
+            LoopbackHttpServer.respond(call, response + "x".repeat(Math.max(0, padding)));
         });
         return endpoint;
     }
 
+    /** Records a request with its id, or all that is known of one without an id, which no client of a test sends. */
+    private void record(String name, HttpExchange call) {
+        String traceId = call.getRequestHeaders().getFirst("X-Trace-Id");
+        if (traceId == null) {
+            requestsWithoutId.add(String.format(
+                    "%s at %s (%s) from %s, headers %s",
+                    call.getRequestMethod() + " " + call.getRequestURI(),
+                    name,
+                    call.getLocalAddress(),
+                    call.getRemoteAddress(),
+                    call.getRequestHeaders().entrySet()));
+        } else {
+            executions.add(new Execution(traceId, System.nanoTime()));
+        }
+    }
+
+    private static long parameter(Pattern pattern, String query, long absent) {
+        Matcher parameter = pattern.matcher(query);
+        return parameter.find() ? Long.parseLong(parameter.group(1)) : absent;
+    }
+
     /** Answers a call for the full list at once, and a long poll with an empty change when its hold time ends. */
     private void answerDiscovery(HttpExchange call) throws IOException {
         String query = call.getRequestURI().getQuery();
@@ -121,6 +151,11 @@
         return executions;
     }
 
+    /** Returns what is known of the requests that have reached any endpoint without an id. */
+    public Queue<String> requestsWithoutId() {
+        return requestsWithoutId;
+    }
+
     /** Returns the number of requests that an endpoint has served. */
     public long requestCount(int endpoint) {
         return requestCounts.get(endpoint).get();
--- a/src/test/java/gatelock/standin/RelayProcess.java
+++ b/src/test/java/gatelock/standin/RelayProcess.java
@@ -21,6 +21,7 @@
             Pattern.compile("(?m)^run = \"exec java (.*) -jar (\\S+) serve( --operator \\S+)?\"$");
     private static final Pattern OLD_GENERATION = Pattern.compile("tenured generation\\s+total \\d+K, used (\\d+)K");
     private static final int READY_POLL_MS = 5;
+    private static final long THROTTLE_PERIOD_MS = 100;
 
     /** The port on which clients connect. */
     public final int port;
@@ -176,6 +177,23 @@
         signal("CONT");
     }
 
+    /**
+     * Lets the process run only for a part of each tenth of a second from now on, as one that has a part of a core does.
+     *
+     * @param cores the part; nothing is changed from 1 on
+     */
+    void limitTo(double cores) {
+        long runMs = Math.round(cores * THROTTLE_PERIOD_MS);
+        if (runMs < THROTTLE_PERIOD_MS) {
+            BackgroundTask.start(() -> {
+                while (isAlive()) {
+                    pause(THROTTLE_PERIOD_MS - runMs);
+                    TimeUnit.MILLISECONDS.sleep(runMs);
+                }
+            });
+        }
+    }
+
     private void signal(String name) throws IOException, InterruptedException {
         new ProcessBuilder("kill", "-" + name, "" + process.pid()).start().waitFor();
     }
