--- a/src/main/java/gatelock/http/RequestHead.java
+++ b/src/main/java/gatelock/http/RequestHead.java
@@ -4,19 +4,16 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.function.IntPredicate;
 import java.util.function.Predicate;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 
 /**
  * The head of one request as the client wrote it. Undertow decodes and merges parts of a head, so it only serves to
  * understand a request; what is forwarded is taken from here.
  */
 final class RequestHead {
-    /** RFC 9112, 3: method, target and version, separated by single spaces. The target is not interpreted here. */
-    private static final Pattern REQUEST_LINE = Pattern.compile("([!-~]+) ([!-~]+) (HTTP/1\\.[01])");
-
+    private static final Set<String> VERSIONS = Set.of("HTTP/1.0", "HTTP/1.1");
     private static final String TOKEN_DELIMITERS = "\"(),/:;<=>?@[\\]{}";
     private static final char DELETE = 127;
     /** The maximum number of header lines. */
@@ -40,12 +37,18 @@
      */
     RequestHead(byte[] bytes) {
         text = new String(bytes, StandardCharsets.ISO_8859_1);
-        Matcher requestLine = REQUEST_LINE.matcher(readLines());
-        boolean matches = requestLine.matches();
-        method = matches ? requestLine.group(1) : "";
-        target = matches ? requestLine.group(2) : "";
-        version = matches ? requestLine.group(3) : "";
-        wellFormed = matches
+        // RFC 9112, 3: method, target and version, separated by single spaces. The target is not interpreted here.
+        String requestLine = readLines();
+        int targetStart = requestLine.indexOf(' ') + 1;
+        int versionStart = requestLine.lastIndexOf(' ') + 1;
+        boolean hasThreeParts = targetStart > 1 && versionStart > targetStart + 1;
+        method = hasThreeParts ? requestLine.substring(0, targetStart - 1) : "";
+        target = hasThreeParts ? requestLine.substring(targetStart, versionStart - 1) : "";
+        version = requestLine.substring(versionStart);
+        wellFormed = hasThreeParts
+                && isVisible(method)
+                && isVisible(target)
+                && VERSIONS.contains(version)
                 && headerLines.size() <= MAX_HEADERS
                 && headerLines.stream().allMatch(RequestHead::isHeaderLine);
     }
@@ -75,8 +78,18 @@
                 && all(line, colon + 1, line.length(), c -> c == '\t' || (c >= ' ' && c != DELETE));
     }
 
+    /** Returns whether a text consists of visible ASCII characters, without spaces. */
+    private static boolean isVisible(String text) {
+        return all(text, 0, text.length(), c -> c > ' ' && c < DELETE);
+    }
+
     private static boolean all(String line, int start, int end, IntPredicate condition) {
-        return line.substring(start, end).chars().allMatch(condition);
+        for (int i = start; i < end; i++) {
+            if (!condition.test(line.charAt(i))) {
+                return false;
+            }
+        }
+        return true;
     }
 
     /**
