Close sessions whose opening crosses the beginning of a shutdown

Cause: only the sessions of the moment of SIGTERM were queued for closing; one that is registered later was not. On a related path, a session whose endpoint drained already kept the deadline of that drain, which may lie behind SIGKILL.

Change: a session registered during a shutdown is queued at once, and the deadline of the shutdown holds for all queued sessions.

--- a/src/main/java/gatelock/boot/RelayService.java
+++ b/src/main/java/gatelock/boot/RelayService.java
@@ -265,7 +265,7 @@
                 config.deadlinesUs().stream().mapToLong(Long::longValue).max().orElse(0);
         long remainingUs = Math.min(longestDeadlineUs, MAX_SHUTDOWN_DEADLINE_US) + SHUTDOWN_MARGIN_US;
         if (sessions != null) {
-            sessions.drainAll(eventLoop.nowUs(), eventLoop.nowUs() + remainingUs - SESSION_CLOSE_MARGIN_US);
+            sessions.drainAll(eventLoop.nowUs() + remainingUs - SESSION_CLOSE_MARGIN_US);
         }
         clientListener.shutDown(remainingUs, () -> awaitSessions(onComplete));
     }
--- a/src/main/java/gatelock/session/DrainQueue.java
+++ b/src/main/java/gatelock/session/DrainQueue.java
@@ -30,6 +30,8 @@
     private double closeBudget;
 
     private long closeBudgetUpdatedUs;
+    /** The time by which all sessions are closed, whatever their own deadline. */
+    private long latestDeadlineUs = Long.MAX_VALUE;
 
     /**
      * Creates an empty queue.
@@ -54,6 +56,11 @@
         }
     }
 
+    /** Closes all sessions, also those that are added later, by this time at the latest. */
+    void limitDeadlines(long deadlineUs) {
+        latestDeadlineUs = deadlineUs;
+    }
+
     /** Stops counting a finished session. Its entry has no further effect and is dropped when its turn comes. */
     void remove(WebSocketSession session) {
         queued.remove(session);
@@ -92,7 +99,7 @@
      * closes are spread over the remaining time.
      */
     private boolean mustCloseNow(Entry entry, long nowUs, double closesPerUs, boolean relayShuttingDown) {
-        long remainingUs = entry.deadlineUs - nowUs;
+        long remainingUs = Math.min(entry.deadlineUs, latestDeadlineUs) - nowUs;
         if (remainingUs <= 0) {
             return true;
         }
--- a/src/main/java/gatelock/session/SessionRegistry.java
+++ b/src/main/java/gatelock/session/SessionRegistry.java
@@ -25,6 +25,9 @@
     private final Map<String, Endpoint> endpoints = new HashMap<>();
     private int nextId;
     private boolean relayShuttingDown;
+    /** The time by which all sessions are closed if the relay is shutting down. */
+    private long shutdownDeadlineUs;
+
     private int newestBuild = -1;
     private DecisionEngine.ReleasePhase newestPhase = DecisionEngine.ReleasePhase.RELEASED;
 
@@ -59,8 +62,8 @@
     }
 
     /**
-     * Registers a session that was opened at an endpoint. If the endpoint began to drain or its build was rolled back
-     * while the session was being opened, the session is drained or closed at once.
+     * Registers a session that was opened at an endpoint. If the endpoint or the relay began to drain or the build was
+     * rolled back while the session was being opened, the session is drained or closed at once.
      */
     public WebSocketSession register(long nowUs, String endpointName, int route, SessionTransport transport) {
         WebSocketSession session = new WebSocketSession(nextId++, endpointName, route, transport);
@@ -73,6 +76,8 @@
             drainQueue.add(session, CloseReason.ENDPOINT_DRAINING, nowUs + drainTimeoutUs);
         } else if (isRolledBack(endpoint.build())) {
             session.end(nowUs, CloseReason.BUILD_ROLLED_BACK, DrainQueue.reconnectDelayMs(random));
+        } else if (relayShuttingDown) {
+            drainQueue.add(session, CloseReason.RELAY_SHUTDOWN, shutdownDeadlineUs);
         }
         return session;
     }
@@ -143,9 +148,14 @@
                         || newestPhase == DecisionEngine.ReleasePhase.WITHDRAWN);
     }
 
-    /** Begins the shutdown of the relay: no more sessions are opened, and all open ones are closed by the deadline. */
-    public void drainAll(long nowUs, long deadlineUs) {
+    /**
+     * Begins the shutdown of the relay: no more sessions are requested, and all are closed by the deadline, also those
+     * that are being opened and those whose endpoint already drains.
+     */
+    public void drainAll(long deadlineUs) {
         relayShuttingDown = true;
+        shutdownDeadlineUs = deadlineUs;
+        drainQueue.limitDeadlines(deadlineUs);
         for (WebSocketSession session : sessionsById.values()) {
             drainQueue.add(session, CloseReason.RELAY_SHUTDOWN, deadlineUs);
         }
--- a/src/test/java/gatelock/WebSocketDrainTest.java
+++ b/src/test/java/gatelock/WebSocketDrainTest.java
@@ -15,6 +15,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -91,6 +92,27 @@
         assertThat(relay.log()).contains("shutdown complete:").doesNotContain("unexpected");
     }
 
+    /** Guards against sessions without a close and a relay that does not end, if SIGTERM crosses openings (review/10). */
+    @Test
+    void closesSessionWhoseOpeningCrossesShutdown() throws Exception {
+        webSocketEndpoint.delayOpenings(400);
+        List<WebSocketPeer> clients = new CopyOnWriteArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            String id = "cross" + i;
+            BackgroundTask.start(() -> clients.add(open(id)));
+        }
+        while (webSocketEndpoint.received().size() < 4) {
+            Thread.sleep(5);
+        }
+        relay.signal("TERM");
+        assertThat(relay.process().waitFor(10, TimeUnit.SECONDS)).isTrue();
+        assertThat(clients).hasSize(4);
+        for (WebSocketPeer client : clients) {
+            assertThat(client.readMessage().code()).isEqualTo(1012);
+            client.close();
+        }
+    }
+
     @Test
     void keepsCanaryWithinExposureCapAndClosesItsSessionsOnRollback() throws Exception {
         HttpMessage listCall = discovery.awaitCall();
--- a/src/test/java/gatelock/session/SessionTest.java
+++ b/src/test/java/gatelock/session/SessionTest.java
@@ -170,11 +170,50 @@
             transports.add(transport);
             sessions.register(2, "a", 0, transport);
         }
-        sessions.drainAll(SECOND_US, 3 * SECOND_US);
+        sessions.drainAll(3 * SECOND_US);
         assertThat(sessions.hasCapacity()).isFalse();
         for (long nowUs = SECOND_US; nowUs <= 3 * SECOND_US; nowUs += 50_000) {
             sessions.closeDue(nowUs);
         }
         assertThat(transports).allMatch(p -> p.closeCodes.get(SessionSide.CLIENT) == 1012);
     }
+
+    /** Guards against a relay that runs until it is killed, with sessions that are never closed (review/10). */
+    @Test
+    void closesSessionThatWasBeingOpenedWhenShutdownBegan() {
+        SessionRegistry sessions = new SessionRegistry(10, 20, 10 * SECOND_US, new SplittableRandom(1));
+        sessions.updateEndpoints(
+                1, DecisionEngine.EndpointUpdateType.FULL, List.of(endpoint("a", 1, Endpoint.Health.READY)));
+        sessions.drainAll(3 * SECOND_US);
+        RecordingTransport beforeDeadline = new RecordingTransport();
+        sessions.register(2 * SECOND_US, "a", 0, beforeDeadline);
+        sessions.closeDue(3 * SECOND_US);
+        assertThat(beforeDeadline.closeCodes).containsEntry(SessionSide.CLIENT, 1012);
+        RecordingTransport afterDeadline = new RecordingTransport();
+        sessions.register(3 * SECOND_US + 100_000, "a", 0, afterDeadline);
+        sessions.closeDue(3 * SECOND_US + 200_000);
+        assertThat(afterDeadline.closeCodes).containsEntry(SessionSide.CLIENT, 1012);
+    }
+
+    /** Guards against the same fault where the endpoint began to drain first and has more time than the relay. */
+    @Test
+    void closesSessionsOfDrainingEndpointByShutdownDeadline() {
+        SessionRegistry sessions = new SessionRegistry(1_000, 0.1, 60 * SECOND_US, new SplittableRandom(1));
+        sessions.updateEndpoints(
+                1, DecisionEngine.EndpointUpdateType.FULL, List.of(endpoint("a", 1, Endpoint.Health.READY)));
+        List<RecordingTransport> transports = new ArrayList<>();
+        for (int i = 0; i < 100; i++) {
+            transports.add(new RecordingTransport());
+            sessions.register(2, "a", 0, transports.get(i));
+        }
+        sessions.updateEndpoints(
+                SECOND_US,
+                DecisionEngine.EndpointUpdateType.DELTA,
+                List.of(endpoint("a", 1, Endpoint.Health.DRAINING)));
+        sessions.drainAll(3 * SECOND_US);
+        for (long nowUs = SECOND_US; nowUs <= 3 * SECOND_US; nowUs += 50_000) {
+            sessions.closeDue(nowUs);
+        }
+        assertThat(transports).allMatch(p -> p.closeCodes.containsKey(SessionSide.CLIENT));
+    }
 }
--- a/src/test/java/gatelock/standin/WebSocketEndpoint.java
+++ b/src/test/java/gatelock/standin/WebSocketEndpoint.java
@@ -37,6 +37,7 @@
     private volatile boolean rejectsRequests;
     private volatile boolean echoesMessages = true;
     private volatile String greeting = "";
+    private volatile long openingMs;
 
     /** Starts an endpoint that accepts sessions and echoes their messages. */
     public WebSocketEndpoint() throws IOException {
@@ -85,6 +86,11 @@
         greeting = (char) (WebSocketPeer.FINAL | WebSocketPeer.TEXT) + "" + (char) text.length() + text;
     }
 
+    /** From now on waits this long before it answers an opening handshake. */
+    public void delayOpenings(long ms) {
+        openingMs = ms;
+    }
+
     /** Returns the endpoint's side of the next session that is opened; fails if none is opened within 20 s. */
     public WebSocketPeer awaitSession() throws InterruptedException {
         WebSocketPeer session = openedSessions.poll(SESSION_TIMEOUT_S, TimeUnit.SECONDS);
@@ -94,7 +100,7 @@
         return session;
     }
 
-    private void serve(Socket socket) throws IOException, GeneralSecurityException {
+    private void serve(Socket socket) throws IOException, GeneralSecurityException, InterruptedException {
         String key = null;
         while (key == null) {
             HttpMessage request = RawHttp.readMessage(socket);
@@ -113,6 +119,7 @@
             }
         }
         record("open");
+        TimeUnit.MILLISECONDS.sleep(openingMs);
         RawHttp.write(
                 socket,
                 "HTTP/1.1 101 Switching Protocols\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
