Count sessions apart from the client connections that the acceptor limits

Cause: the acceptor goes on counting a connection that has become a session, with a fixed limit, and stopped before the number from which on idle connections are closed. On a related path the number of sessions was checked before openings under way were counted, so it could be exceeded.

Change: the acceptor's limit follows the number of open sessions; DescriptorBudget divides the descriptors. An opening takes a place, which is given back when it fails or its session has ended. A shutdown ends at the earliest time of SIGKILL whatever is left.

--- a/src/main/java/gatelock/boot/RelayService.java
+++ b/src/main/java/gatelock/boot/RelayService.java
@@ -5,6 +5,7 @@
 import gatelock.net.EventLoop;
 import gatelock.session.SessionRegistry;
 import gatelock.state.Counters;
+import gatelock.state.DescriptorBudget;
 import io.undertow.server.HttpHandler;
 import java.io.IOException;
 import java.lang.System.Logger.Level;
@@ -116,8 +117,7 @@
 
     private void run() {
         try {
-            clientListener =
-                    new ClientListener(eventLoop, counters, config.maxSockets() / 4, config.maxSockets() * 2 / 5);
+            clientListener = new ClientListener(eventLoop, counters, new DescriptorBudget(config.maxSockets()));
             switch (mode) {
                 case COLD -> startCold();
                 case WARM -> startWarm();
@@ -268,10 +268,12 @@
             sessions.drainAll(eventLoop.nowUs() + remainingUs - SESSION_CLOSE_MARGIN_US);
         }
         clientListener.shutDown(remainingUs, () -> awaitSessions(onComplete));
+        // No answer or close is owed any more at this time; whatever is left must not keep the process from ending.
+        eventLoop.schedule(remainingUs, onComplete);
     }
 
     private void awaitSessions(Runnable onComplete) {
-        if (sessions == null || sessions.size() == 0) {
+        if (sessions == null || sessions.isEmpty()) {
             onComplete.run();
         } else {
             eventLoop.schedule(SESSION_CHECK_INTERVAL_US, () -> awaitSessions(onComplete));
--- a/src/main/java/gatelock/boot/RequestPipeline.java
+++ b/src/main/java/gatelock/boot/RequestPipeline.java
@@ -20,6 +20,7 @@
 import gatelock.release.ReleaseControllerClient;
 import gatelock.session.SessionRegistry;
 import gatelock.state.Counters;
+import gatelock.state.DescriptorBudget;
 import gatelock.state.EndpointAddresses;
 import gatelock.state.InFlightRequests;
 import gatelock.websocket.WebSocketUpgrader;
@@ -81,6 +82,7 @@
         this.eventLoop = eventLoop;
         this.counters = counters;
         inFlight = new InFlightRequests(counters);
+        DescriptorBudget descriptors = new DescriptorBudget(config.maxSockets());
         // Idle connections are closed well before the endpoint closes them, so that no request is sent on a closing
         // connection.
         endpointPool = new ConnectionPool(
@@ -89,7 +91,9 @@
                 config.connectTimeoutUs(),
                 config.settings().idleConnectionUs(),
                 ENDPOINT_REUSE_DELAY_US,
-                config.maxSockets() * 2 / 5);
+                descriptors.endpointConnections(0));
+        clientListener.onSessionCountChanged(
+                count -> endpointPool.setMaxConnections(descriptors.endpointConnections(count)));
         ResponseWriter responseWriter = new ResponseWriter(eventLoop, inFlight, counters);
         OutcomeRecorder outcomes = new OutcomeRecorder(eventLoop, inFlight, counters, responseWriter);
         RequestFailureHandler failures = new RequestFailureHandler(eventLoop, inFlight, counters, responseWriter);
--- a/src/main/java/gatelock/http/ClientExchanges.java
+++ b/src/main/java/gatelock/http/ClientExchanges.java
@@ -12,7 +12,10 @@
 import java.io.IOException;
 import java.lang.System.Logger.Level;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
+import java.util.function.IntConsumer;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
 import org.xnio.channels.StreamSinkChannel;
@@ -34,11 +37,22 @@
 
     private final EventLoop eventLoop;
     private final ClientConnections<StreamConnection> connections;
+    private final IntConsumer upgradedCountListener;
     private final Map<StreamConnection, ClientReadConduit> readConduits = new HashMap<>();
+    /** The open connections that have been upgraded to another protocol. */
+    private final Set<StreamConnection> upgraded = new HashSet<>();
+
     private boolean closesAfterResponse;
 
-    /** Creates an empty set of exchanges on these connections. */
-    ClientExchanges(EventLoop eventLoop, ClientConnections<StreamConnection> connections) {
+    /**
+     * Creates an empty set of exchanges on these connections.
+     *
+     * @param upgradedCountListener notified of each change of the number of open connections that have been upgraded to
+     *     another protocol
+     */
+    ClientExchanges(
+            EventLoop eventLoop, ClientConnections<StreamConnection> connections, IntConsumer upgradedCountListener) {
+        this.upgradedCountListener = upgradedCountListener;
         this.eventLoop = eventLoop;
         this.connections = connections;
     }
@@ -54,6 +68,9 @@
     /** Forgets a connection that is closed. */
     void remove(StreamConnection connection) {
         readConduits.remove(connection);
+        if (upgraded.remove(connection)) {
+            upgradedCountListener.accept(upgraded.size());
+        }
     }
 
     /** Returns whether bytes have arrived on a connection that were not offered to Undertow. */
@@ -142,6 +159,9 @@
             readConduit.upgrade();
         }
         connections.remove(connection);
+        if (connection.isOpen() && upgraded.add(connection)) {
+            upgradedCountListener.accept(upgraded.size());
+        }
     }
 
     /** Called when the client has closed its connection or aborted its own request. */
--- a/src/main/java/gatelock/http/ClientListener.java
+++ b/src/main/java/gatelock/http/ClientListener.java
@@ -6,6 +6,7 @@
 import gatelock.state.ClientConnections;
 import gatelock.state.ClientSockets;
 import gatelock.state.Counters;
+import gatelock.state.DescriptorBudget;
 import io.undertow.UndertowOptions;
 import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.server.HttpHandler;
@@ -15,6 +16,7 @@
 import java.io.IOException;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
+import java.util.function.IntConsumer;
 import org.xnio.ChannelListener;
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
@@ -51,7 +53,8 @@
     private static final String HEALTHY_PATH = "/-/healthy";
 
     private final EventLoop eventLoop;
-    private final int hardLimit;
+    private final DescriptorBudget descriptors;
+    private IntConsumer sessionCountListener = sessions -> {};
     private final ClientConnections<StreamConnection> connections;
     private final ClientExchanges exchanges;
     private AcceptingChannel<StreamConnection> acceptor;
@@ -70,15 +73,15 @@
      *
      * @param eventLoop the I/O thread
      * @param counters counts client connections
-     * @param softLimit the number of connections above which idle ones are evicted
-     * @param hardLimit the number of connections above which any one without a complete request is evicted, and no more
-     *     are accepted
+     * @param descriptors limits the number of client connections; with few more than the hard limit, no more are
+     *     accepted
      */
-    public ClientListener(EventLoop eventLoop, Counters counters, int softLimit, int hardLimit) {
+    public ClientListener(EventLoop eventLoop, Counters counters, DescriptorBudget descriptors) {
         this.eventLoop = eventLoop;
-        this.hardLimit = hardLimit;
-        this.connections = new ClientConnections<>(counters, new Sockets(), softLimit, hardLimit);
-        this.exchanges = new ClientExchanges(eventLoop, connections);
+        this.descriptors = descriptors;
+        this.connections = new ClientConnections<>(
+                counters, new Sockets(), descriptors.softClientLimit(), descriptors.hardClientLimit(0));
+        this.exchanges = new ClientExchanges(eventLoop, connections, this::onSessionCountChanged);
     }
 
     /** Gives the connection limits access to the sockets of the clients. */
@@ -116,8 +119,8 @@
                 .set(Options.TCP_NODELAY, true)
                 .set(Options.REUSE_ADDRESSES, true)
                 .set(Options.BACKLOG, ACCEPT_BACKLOG)
-                .set(Options.CONNECTION_HIGH_WATER, hardLimit + ACCEPT_MARGIN)
-                .set(Options.CONNECTION_LOW_WATER, hardLimit + ACCEPT_MARGIN - 1)
+                .set(Options.CONNECTION_HIGH_WATER, descriptors.hardClientLimit(0) + ACCEPT_MARGIN)
+                .set(Options.CONNECTION_LOW_WATER, descriptors.hardClientLimit(0) + ACCEPT_MARGIN - 1)
                 .getMap();
         acceptor = eventLoop
                 .ioThread()
@@ -172,6 +175,25 @@
         });
     }
 
+    /**
+     * Adapts the limits to the number of connections that have become sessions and are still open. The acceptor counts
+     * them, although they are not limited here.
+     */
+    private void onSessionCountChanged(int sessions) {
+        int hardLimit = descriptors.hardClientLimit(sessions);
+        connections.setHardLimit(hardLimit);
+        int acceptLimit = hardLimit + ACCEPT_MARGIN + sessions;
+        try {
+            acceptor.setOption(Options.CONNECTION_HIGH_WATER, acceptLimit);
+            acceptor.setOption(Options.CONNECTION_LOW_WATER, acceptLimit - 1);
+        } catch (IOException e) {
+            // Only a listener that is closed has no limits; it accepts nothing any more.
+            LOG.log(Level.DEBUG, () -> "limit of connections not changed: " + e);
+        }
+        scheduleEviction();
+        sessionCountListener.accept(sessions);
+    }
+
     private void remove(StreamConnection connection) {
         connections.remove(connection);
         exchanges.remove(connection);
@@ -188,6 +210,11 @@
         this.ready = ready;
     }
 
+    /** Sets what is notified of each change of the number of open client connections that have become sessions. */
+    public void onSessionCountChanged(IntConsumer listener) {
+        sessionCountListener = listener;
+    }
+
     private void handle(HttpServerExchange exchange) {
         try {
             handleRequest(exchange);
--- a/src/main/java/gatelock/net/ConnectionPool.java
+++ b/src/main/java/gatelock/net/ConnectionPool.java
@@ -23,7 +23,7 @@
     private final long connectTimeoutUs;
     private final long idleTimeoutUs;
     private final long minIdleUs;
-    private final int maxConnections;
+    private int maxConnections;
     private final int maxBodyBytes;
     private int openCount;
     private boolean stopped;
@@ -80,6 +80,18 @@
         eventLoop.execute(this::closeExpired);
     }
 
+    /** Changes the number of connections from which on an idle one is closed for each one that is opened. */
+    public void setMaxConnections(int maxConnections) {
+        this.maxConnections = maxConnections;
+        closeIdleOverLimit();
+    }
+
+    private void closeIdleOverLimit() {
+        while (openCount > maxConnections && idleConnections.size() > 0) {
+            idleConnections.closeOldest();
+        }
+    }
+
     /** Closes the idle connections. No request may be sent afterwards. */
     public void shutdown() {
         stopped = true;
@@ -152,6 +164,7 @@
     /** Returns a connection to the pool after the response to its request has been received. */
     void release(OutboundConnection connection) {
         idleConnections.put(eventLoop.nowUs(), connection.address(), connection);
+        closeIdleOverLimit();
         if (stopped) {
             closeExpired();
         }
--- a/src/main/java/gatelock/session/SessionRegistry.java
+++ b/src/main/java/gatelock/session/SessionRegistry.java
@@ -24,6 +24,9 @@
     private final Map<String, Set<WebSocketSession>> sessionsByEndpoint = new HashMap<>();
     private final Map<String, Endpoint> endpoints = new HashMap<>();
     private int nextId;
+    /** The number of sessions that are being opened or have a side still connected. */
+    private int placesInUse;
+
     private boolean relayShuttingDown;
     /** The time by which all sessions are closed if the relay is shutting down. */
     private long shutdownDeadlineUs;
@@ -58,7 +61,22 @@
 
     /** Returns whether another session may be opened. */
     public boolean hasCapacity() {
-        return sessionsById.size() < maxSessions && !relayShuttingDown;
+        return placesInUse < maxSessions && !relayShuttingDown;
+    }
+
+    /** Returns whether no session is open, being opened or being closed. */
+    public boolean isEmpty() {
+        return placesInUse == 0 && sessionsById.isEmpty();
+    }
+
+    /** Takes a place for a session that is about to be opened. */
+    public void takePlace() {
+        placesInUse++;
+    }
+
+    /** Gives back a place: the session was not opened, or it has ended and both sides are disconnected. */
+    public void releasePlace() {
+        placesInUse--;
     }
 
     /**
--- a/src/main/java/gatelock/state/ClientConnections.java
+++ b/src/main/java/gatelock/state/ClientConnections.java
@@ -69,7 +69,7 @@
     private final Counters counters;
     private final ClientSockets<C> sockets;
     private final int softLimit;
-    private final int hardLimit;
+    private int hardLimit;
     private final Map<C, Entry> entries = new HashMap<>();
     /** The connections in each state, in the order in which they entered it. */
     private final Map<ClientConnectionState, Set<C>> byState = new EnumMap<>(ClientConnectionState.class);
@@ -93,6 +93,11 @@
         }
     }
 
+    /** Changes the number of connections above which any connection without a complete request may be evicted. */
+    public void setHardLimit(int hardLimit) {
+        this.hardLimit = hardLimit;
+    }
+
     /** Returns the number of open connections. */
     public int size() {
         return entries.size();
--- a/src/main/java/gatelock/state/InFlightRequest.java
+++ b/src/main/java/gatelock/state/InFlightRequest.java
@@ -89,7 +89,7 @@
         completed = true;
     }
 
-    /** Runs the completion action, if there is one and it has neither run nor been taken. */
+    /** Runs the completion actions that have neither run nor been taken. */
     public void runCompletionAction() {
         Runnable action = takeCompletionAction();
         if (action != null) {
@@ -120,16 +120,25 @@
         this.attemptLauncher = attemptLauncher;
     }
 
-    /** Removes and returns the completion action, which the caller then has to run; null if there is none. */
+    /** Removes and returns all completion actions as one, which the caller then has to run; null if there is none. */
     public Runnable takeCompletionAction() {
         Runnable action = completionAction;
         completionAction = null;
         return action;
     }
 
-    /** Sets the action that runs once the request is completed. */
+    /** Adds an action that runs once the request is completed, after those that were added before. */
     public void onCompleted(Runnable action) {
-        completionAction = action;
+        Runnable earlier = completionAction;
+        completionAction = earlier == null ? action : () -> runBoth(earlier, action);
+    }
+
+    private static void runBoth(Runnable first, Runnable second) {
+        try {
+            first.run();
+        } finally {
+            second.run();
+        }
     }
 
     /**
--- a/src/main/java/gatelock/websocket/SessionOpening.java
+++ b/src/main/java/gatelock/websocket/SessionOpening.java
@@ -23,9 +23,11 @@
     private final int route;
     private final List<String> subprotocols;
     private OpenedEndpoint opened;
-    /** Releases the session's share of its route's limits. */
+    /** Gives back the session's place and its share of its route's limits; null once it has run. */
     private Runnable onFinished;
 
+    private boolean started;
+
     /**
      * Creates the opening of a session on a route with this index.
      *
@@ -54,8 +56,12 @@
     }
 
     private void endpointOpened(OpenedEndpoint endpoint) {
+        if (opened != null) {
+            IoUtils.safeClose(endpoint.channel());
+            return;
+        }
         opened = endpoint;
-        // The session keeps the request's share of the route's limits until it is finished.
+        // The session keeps its place and the request's share of the route's limits until it is finished.
         onFinished = request.takeCompletionAction();
         context.counters().increment("sessions opened");
     }
@@ -68,25 +74,37 @@
         Handshake handshake = new Hybi13Handshake(subprotocols, false);
         WebSocketConnectionCallback startSession = (facade, clientChannel) -> {
             try {
-                new WebSocketProxySession(context, policy, route, clientChannel, opened, onFinished).start();
+                new WebSocketProxySession(context, policy, route, clientChannel, opened, this::releasePlace).start();
+                started = true;
             } catch (RuntimeException | Error e) {
-                closeBoth(exchange, e);
+                closeBoth(exchange, e.toString());
             }
         };
+        // A client that leaves before it has the response is never connected to the endpoint.
+        exchange.getConnection().addCloseListener(closed -> {
+            if (!started) {
+                closeBoth(exchange, "the client has left");
+            }
+        });
         try {
             new WebSocketProtocolHandshakeHandler(List.of(handshake), startSession).handleRequest(exchange);
         } catch (Exception | Error e) {
-            closeBoth(exchange, e);
+            closeBoth(exchange, e.toString());
         }
     }
 
-    /** Closes the connections to the client and to the endpoint, and releases the session's share of the limits. */
-    private void closeBoth(HttpServerExchange exchange, Throwable failure) {
-        LOG.log(Level.DEBUG, () -> "WebSocket upgrade of a client failed: " + failure);
+    /** Closes the connections to the client and to the endpoint, and gives back the session's place. */
+    private void closeBoth(HttpServerExchange exchange, String reason) {
+        LOG.log(Level.DEBUG, () -> "WebSocket upgrade of a client failed: " + reason);
         IoUtils.safeClose(opened.channel(), exchange.getConnection());
-        if (onFinished != null) {
-            onFinished.run();
-            onFinished = null;
+        releasePlace();
+    }
+
+    private void releasePlace() {
+        Runnable action = onFinished;
+        onFinished = null;
+        if (action != null) {
+            action.run();
         }
     }
 }
--- a/src/main/java/gatelock/websocket/WebSocketUpgrader.java
+++ b/src/main/java/gatelock/websocket/WebSocketUpgrader.java
@@ -102,6 +102,8 @@
         List<String> subprotocols = offeredSubprotocols(exchange, policy.subprotocols());
         SessionOpening opening = new SessionOpening(context, request, policy, route, subprotocols);
         request.setAttemptLauncher(opening);
+        context.sessions().takePlace();
+        request.onCompleted(context.sessions()::releasePlace);
         return opening::answerClient;
     }
 
--- a/src/test/java/gatelock/WebSocketTestCase.java
+++ b/src/test/java/gatelock/WebSocketTestCase.java
@@ -35,18 +35,29 @@
         webSocketEndpoint = new WebSocketEndpoint();
         relay.writeConfig(relay.configText()
                 .replace(endpoint.address(), listedEndpoint())
-                .replace("\"deadlineNs\": 1000000000", "\"deadlineNs\": 2500000000"));
+                .replace("\"deadlineNs\": 1000000000", "\"deadlineNs\": 2500000000")
+                .replace("\"sockets\": 1024", "\"sockets\": " + maxDescriptors()));
         control.publish(1, "s", 1, CONFIG_VERSION);
         Path operator = directory.resolve("operator.json");
         Files.writeString(
                 operator,
                 "{\"control\": {\"services\": [\"" + control.address()
                         + "\"], \"holdMs\": 500},"
-                        + " \"sessions\": {\"drainS\": 2, \"opensPerUnitS\": 5}}");
+                        + " \"sessions\": {\"drainS\": 2, \"opensPerUnitS\": 5" + sessionLimit() + "}}");
         startRelay("--operator", operator.toString());
         control.awaitReport("1/1");
     }
 
+    /** Returns the number of file descriptors in the relay's configuration. */
+    protected int maxDescriptors() {
+        return 1024;
+    }
+
+    /** Returns a further option of the operator's file that limits the sessions; empty for none. */
+    protected String sessionLimit() {
+        return "";
+    }
+
     /** Returns the address of the endpoint that the relay sends all requests to. */
     protected String listedEndpoint() throws IOException {
         return webSocketEndpoint.address();
--- a/src/test/java/gatelock/http/ClientListenerTest.java
+++ b/src/test/java/gatelock/http/ClientListenerTest.java
@@ -5,6 +5,7 @@
 import gatelock.net.DelayedIoThread;
 import gatelock.net.EventLoop;
 import gatelock.state.Counters;
+import gatelock.state.DescriptorBudget;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
@@ -34,7 +35,7 @@
         List<Socket> connected = new ArrayList<>();
         try {
             EventLoop eventLoop = new EventLoop(worker.getIoThread());
-            ClientListener listener = new ClientListener(eventLoop, new Counters(), 200, 300);
+            ClientListener listener = new ClientListener(eventLoop, new Counters(), new DescriptorBudget(800));
             InetSocketAddress address = listener.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
             listener.setRequestHandler(
                     exchange -> {
--- a/src/test/java/gatelock/pipeline/FaultyPipeline.java
+++ b/src/test/java/gatelock/pipeline/FaultyPipeline.java
@@ -11,6 +11,7 @@
 import gatelock.net.EventLoop;
 import gatelock.standin.FakeServer;
 import gatelock.state.Counters;
+import gatelock.state.DescriptorBudget;
 import gatelock.state.EndpointAddresses;
 import gatelock.state.InFlightRequests;
 import java.io.IOException;
@@ -31,8 +32,7 @@
     /** The deadline, and the half second after which a response counts as lost. */
     static final int RESPONSE_TIMEOUT_MS = 1_500;
 
-    private static final int CLIENTS_SOFT_LIMIT = 200;
-    private static final int CLIENTS_HARD_LIMIT = 300;
+    private static final int MAX_DESCRIPTORS = 800;
     private static final long CONNECT_TIMEOUT_US = 250_000;
     private static final long IDLE_TIMEOUT_US = 2_000_000;
     private static final long LATENCY_OBJECTIVE_US = 100_000;
@@ -52,7 +52,7 @@
     FaultyPipeline(Admission admission) throws Exception {
         worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
         eventLoop = new EventLoop(worker.getIoThread());
-        listener = new ClientListener(eventLoop, counters, CLIENTS_SOFT_LIMIT, CLIENTS_HARD_LIMIT);
+        listener = new ClientListener(eventLoop, counters, new DescriptorBudget(MAX_DESCRIPTORS));
         address = listener.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
         listener.setRequestHandler(assemble(admission), true);
     }
