Bound what the check of a version keeps: violations, findings and the values themselves

Cause: the schema library collected all violations, which were cut to 200 afterwards. On a related path the parsed values alone take up to thirty times their text, which only the length of the text bounded.

Change: the validation stops at 1,000 violations, BoundedDiagnostics keeps only what is reported, and JsonTreeReader stops at a quarter of the heap (G-SIZE, with its place).

--- a/src/main/java/gatelock/config/ConfigCompiler.java
+++ b/src/main/java/gatelock/config/ConfigCompiler.java
@@ -58,35 +58,30 @@
      * @param text the version's text in UTF-8
      */
     public Result compile(ConfigVersion.Epoch epoch, long number, byte[] text) {
-        List<Diagnostic> diagnostics = new ArrayList<>();
+        BoundedDiagnostics diagnostics = new BoundedDiagnostics(MAX_REPORTED_FINDINGS);
         ConfigDocument document = ConfigDocument.parse(text, diagnostics);
         if (document == null) {
             return new Result(null, List.copyOf(diagnostics));
         }
         CompiledConfig compiled = null;
         SchemaValidator.PLAN.validate(document, diagnostics);
-        if (!hasErrors(diagnostics)) {
+        if (!diagnostics.hasErrors()) {
             ResolvedConfig config = new ResolvedConfig(document);
             ConfigValidator.validate(config, deployment, diagnostics);
-            if (!hasErrors(diagnostics)) {
+            if (!diagnostics.hasErrors()) {
                 compiled = compile(new ConfigVersion(epoch, number, ConfigVersion.hash(text)), config);
             }
         }
-        return new Result(compiled, document.withLocations(truncate(diagnostics)));
+        return new Result(compiled, document.withLocations(reported(diagnostics)));
     }
 
-    private static boolean hasErrors(List<Diagnostic> diagnostics) {
-        return diagnostics.stream().anyMatch(Diagnostic::isError);
-    }
-
-    private static List<Diagnostic> truncate(List<Diagnostic> diagnostics) {
-        if (diagnostics.size() <= MAX_REPORTED_FINDINGS) {
+    private static List<Diagnostic> reported(BoundedDiagnostics diagnostics) {
+        if (diagnostics.omitted() == 0) {
             return diagnostics;
         }
-        List<Diagnostic> reported = new ArrayList<>(diagnostics.subList(0, MAX_REPORTED_FINDINGS));
-        int omitted = diagnostics.size() - MAX_REPORTED_FINDINGS;
+        List<Diagnostic> reported = new ArrayList<>(diagnostics);
         reported.add(Diagnostic.newWarning(
-                "G-MORE", "", omitted + " more findings are not reported", "correct these first"));
+                "G-MORE", "", diagnostics.omitted() + " more findings are not reported", "correct these first"));
         return reported;
     }
 
--- a/src/main/java/gatelock/config/ConfigDocument.java
+++ b/src/main/java/gatelock/config/ConfigDocument.java
@@ -7,8 +7,6 @@
 import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ArrayNode;
-import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -27,6 +25,9 @@
     /** Bound on the length of a number; guards against numbers crafted to take long to parse. */
     private static final int MAX_NUMBER_LENGTH = 30;
 
+    /** Bound on the memory of the values, a part of the heap that leaves room for the version in use and for requests. */
+    private static final long MAX_TREE_BYTES = Runtime.getRuntime().maxMemory() / 4;
+
     private static final JsonFactory JSON = JsonFactory.builder()
             .streamReadConstraints(StreamReadConstraints.builder()
                     .maxNestingDepth(MAX_NESTING_DEPTH)
@@ -48,12 +49,14 @@
      *
      * @param text the text in UTF-8
      * @param diagnostics receives an error if the text is not valid
-     * @return the document, or null if the text is not JSON, is not a single object, or repeats a field name
+     * @return the document, or null if the text is not JSON, is not a single object, repeats a field name, or has too many
+     *     values for the memory of the process
      */
     public static ConfigDocument parse(byte[] text, List<Diagnostic> diagnostics) {
         try (JsonParser parser = newParser(text)) {
             parser.nextToken();
-            JsonNode root = parser.currentToken() == null ? null : readValue(parser);
+            JsonNode root =
+                    parser.currentToken() == null ? null : new JsonTreeReader(parser, MAX_TREE_BYTES).readValue();
             if (root instanceof ObjectNode && parser.nextToken() == null) {
                 return new ConfigDocument(text, root);
             }
@@ -62,6 +65,13 @@
                     .withLocation(
                             parser.currentTokenLocation().getLineNr(),
                             parser.currentTokenLocation().getColumnNr()));
+        } catch (JsonTreeReader.TreeTooLargeException e) {
+            diagnostics.add(Diagnostic.newError(
+                            "G-SIZE",
+                            "",
+                            "it has too many values: " + e.getMessage(),
+                            "send fewer routes, or give the relay more memory")
+                    .withLocation(e.location().getLineNr(), e.location().getColumnNr()));
         } catch (JsonProcessingException e) {
             diagnostics.add(syntaxError(e));
         } catch (IOException e) {
@@ -84,37 +94,6 @@
         return location == null ? error : error.withLocation(location.getLineNr(), location.getColumnNr());
     }
 
-    private static JsonNode readValue(JsonParser parser) throws IOException {
-        JsonNodeFactory nodes = JsonNodeFactory.instance;
-        return switch (parser.currentToken()) {
-            case START_OBJECT -> readObject(parser);
-            case START_ARRAY -> readArray(parser);
-            case VALUE_STRING -> nodes.textNode(parser.getText());
-            case VALUE_NUMBER_INT -> nodes.numberNode(parser.getDecimalValue().toBigInteger());
-            case VALUE_NUMBER_FLOAT -> nodes.numberNode(parser.getDecimalValue());
-            case VALUE_TRUE, VALUE_FALSE -> nodes.booleanNode(parser.getBooleanValue());
-            default -> nodes.nullNode();
-        };
-    }
-
-    private static ObjectNode readObject(JsonParser parser) throws IOException {
-        ObjectNode object = JsonNodeFactory.instance.objectNode();
-        while (parser.nextToken() != JsonToken.END_OBJECT) {
-            String name = parser.currentName();
-            parser.nextToken();
-            object.set(name, readValue(parser));
-        }
-        return object;
-    }
-
-    private static ArrayNode readArray(JsonParser parser) throws IOException {
-        ArrayNode array = JsonNodeFactory.instance.arrayNode();
-        while (parser.nextToken() != JsonToken.END_ARRAY) {
-            array.add(readValue(parser));
-        }
-        return array;
-    }
-
     /** Escapes a name for use as one reference token of a JSON pointer (RFC 6901, section 3). */
     static String escapePointerToken(String name) {
         return name.replace("~", "~0").replace("/", "~1");
--- a/src/main/java/gatelock/config/SchemaValidator.java
+++ b/src/main/java/gatelock/config/SchemaValidator.java
@@ -1,6 +1,7 @@
 package gatelock.config;
 
 import com.networknt.schema.Error;
+import com.networknt.schema.ExecutionContext;
 import com.networknt.schema.InputFormat;
 import com.networknt.schema.Schema;
 import com.networknt.schema.SchemaRegistry;
@@ -8,6 +9,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 
@@ -18,6 +20,8 @@
     /** The schema of the operator's configuration file. */
     OPERATOR("/gatelock/operator.schema.json");
 
+    private static final int MAX_VIOLATIONS = 1_000;
+
     private final String resource;
 
     SchemaValidator(String resource) {
@@ -44,11 +48,41 @@
     }
 
     /**
-     * Validates a document and adds an error for each violation. The error's code is {@code S-} followed by the
-     * violated schema keyword in upper case.
+     * The violations of one document. Once there are more than are ever reported, the validation is stopped, as a
+     * document can have more of them than fit into memory.
+     */
+    private static final class Violations extends ArrayList<Error> {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        public boolean add(Error error) {
+            if (size() == MAX_VIOLATIONS) {
+                throw new TooManyViolationsException();
+            }
+            return super.add(error);
+        }
+    }
+
+    private static final class TooManyViolationsException extends RuntimeException {
+        private static final long serialVersionUID = 1L;
+    }
+
+    private List<Error> violations(ConfigDocument document) {
+        Violations violations = new Violations();
+        try {
+            schema().validate(document.root(), (ExecutionContext context) -> context.setErrors(violations));
+        } catch (TooManyViolationsException e) {
+            // Those that were found until now are enough.
+        }
+        return violations;
+    }
+
+    /**
+     * Validates a document and adds an error for each violation, or for the first thousand of them. The error's code is
+     * {@code S-} followed by the violated schema keyword in upper case.
      */
     public void validate(ConfigDocument document, List<Diagnostic> diagnostics) {
-        for (Error error : schema().validate(document.root())) {
+        for (Error error : violations(document)) {
             String keyword = error.getKeyword();
             diagnostics.add(Diagnostic.newError(
                     "S-" + keyword.toUpperCase(Locale.ROOT),
--- a/src/test/java/gatelock/config/ConfigCompilerTest.java
+++ b/src/test/java/gatelock/config/ConfigCompilerTest.java
@@ -45,6 +45,31 @@
         }
     }
 
+    /** Guards against a list of findings that takes more memory than the version (review/8). */
+    @Test
+    void stopsToSearchForFindingsOnceThereAreManyMoreThanAreReported() {
+        String wrongRoutes = "{'name': 1},".repeat(5_000);
+        ConfigCompiler.Result ofSchema = SampleConfigs.compile(
+                "{\"format\": 1, \"routes\": [" + wrongRoutes.replace('\'', '"') + "{\"name\": 1}]}");
+        assertThat(ofSchema.isValid()).isFalse();
+        assertThat(ofSchema.diagnostics()).hasSize(201);
+        assertThat(ofSchema.diagnostics().get(200).problem()).isEqualTo("800 more findings are not reported");
+    }
+
+    /** Guards against an error that is overlooked because there are many warnings before it. */
+    @Test
+    void keepsErrorBehindManyWarnings() {
+        BoundedDiagnostics diagnostics = new BoundedDiagnostics(10);
+        for (int i = 0; i < 20; i++) {
+            diagnostics.add(Diagnostic.newWarning("W", "/" + i, "odd", "check it"));
+        }
+        assertThat(diagnostics.hasErrors()).isFalse();
+        diagnostics.add(Diagnostic.newError("E", "/e", "wrong", "correct it"));
+        assertThat(diagnostics.hasErrors()).isTrue();
+        assertThat(diagnostics).hasSize(10).anyMatch(Diagnostic::isError);
+        assertThat(diagnostics.omitted()).isEqualTo(11);
+    }
+
     @Test
     void inheritsMissingFieldBeforeUsingDefault() {
         CompiledConfig config = SampleConfigs.compileValid("""
--- a/src/test/java/gatelock/standin/RelayProcess.java
+++ b/src/test/java/gatelock/standin/RelayProcess.java
@@ -83,13 +83,15 @@
      * @param directory where the configuration and the log are written
      * @param port port on which clients connect
      * @param configuration text of the configuration, which must name the same port
+     * @param arguments command-line arguments after {@code serve}
      */
-    public static RelayProcess startFromClasses(Path directory, int port, String configuration) throws IOException {
+    public static RelayProcess startFromClasses(Path directory, int port, String configuration, String... arguments)
+            throws IOException {
         List<String> flags = flags().stream()
                 .filter(flag -> !flag.startsWith("-XX:SharedArchiveFile"))
                 .toList();
         List<String> program = List.of("-cp", System.getProperty("java.class.path"), "gatelock.boot.Main");
-        return start(directory, port, configuration, flags, program, List.of());
+        return start(directory, port, configuration, flags, program, List.of(arguments));
     }
 
     private static RelayProcess start(
