--- a/src/test/java/gatelock/standin/RelayProcess.java
+++ b/src/test/java/gatelock/standin/RelayProcess.java
@@ -113,7 +113,7 @@
         ProcessBuilder builder =
                 new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(log.toFile());
         builder.environment().put("PROXY_CONFIG", config.toString());
-        return new RelayProcess(port, log, builder.start());
+        return new RelayProcess(port, log, ChildProcesses.start(builder));
     }
 
     private static String jdkTool(String name) {
--- a/src/test/java/gatelock/standin/RelayUnderTest.java
+++ b/src/test/java/gatelock/standin/RelayUnderTest.java
@@ -81,7 +81,7 @@
     public void launchWithConfig(Path configuration, String... arguments) throws IOException {
         ProcessBuilder builder = command(arguments).redirectErrorStream(true).redirectOutput(log.toFile());
         builder.environment().put("PROXY_CONFIG", configuration.toString());
-        process = builder.start();
+        process = ChildProcesses.start(builder);
     }
 
     /** Starts the program without warm-up. It knows no endpoint until discovery answers its call. */
