Bound the memory that requests and responses of all clients hold together

Cause: only the number of connections bounded heads, bodies and responses. An unbounded sum of what single clients may hold is the class of bug; the direct kin are responses that are being read and heads that are kept after their request.

Change: MemoryBudget, a third of the heap beyond 10 MB. Amounts up to 8 KB are always granted. For more the oldest incomplete requests are refused with 503, then the request that asks; a complete request is never reclaimed. The head is forgotten with its request.

--- a/src/main/java/gatelock/boot/RelayService.java
+++ b/src/main/java/gatelock/boot/RelayService.java
@@ -6,6 +6,7 @@
 import gatelock.session.SessionRegistry;
 import gatelock.state.Counters;
 import gatelock.state.DescriptorBudget;
+import gatelock.state.MemoryBudget;
 import io.undertow.server.HttpHandler;
 import java.io.IOException;
 import java.lang.System.Logger.Level;
@@ -59,6 +60,7 @@
     private final OperatorConfig operator;
     private final ConfigReloader reloader;
     private RelayConfig config;
+    private MemoryBudget memory;
     private ClientListener clientListener;
     private RequestPipeline pipeline;
     private ControlPlane controlPlane;
@@ -117,7 +119,9 @@
 
     private void run() {
         try {
-            clientListener = new ClientListener(eventLoop, counters, new DescriptorBudget(config.maxSockets()));
+            long requestMemory = MemoryBudget.shareOfHeap(Runtime.getRuntime().maxMemory());
+            memory = new MemoryBudget(counters, requestMemory);
+            clientListener = new ClientListener(eventLoop, counters, new DescriptorBudget(config.maxSockets()), memory);
             switch (mode) {
                 case COLD -> startCold();
                 case WARM -> startWarm();
--- a/src/main/java/gatelock/http/ClientExchanges.java
+++ b/src/main/java/gatelock/http/ClientExchanges.java
@@ -3,6 +3,7 @@
 import gatelock.net.EventLoop;
 import gatelock.state.ClientCloseReason;
 import gatelock.state.ClientConnections;
+import gatelock.state.MemoryBudget;
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.protocol.http.HttpServerConnection;
@@ -37,6 +38,7 @@
 
     private final EventLoop eventLoop;
     private final ClientConnections<StreamConnection> connections;
+    private final MemoryBudget memoryBudget;
     private final IntConsumer upgradedCountListener;
     private final Map<StreamConnection, ClientReadConduit> readConduits = new HashMap<>();
     /** The open connections that have been upgraded to another protocol. */
@@ -47,11 +49,16 @@
     /**
      * Creates an empty set of exchanges on these connections.
      *
+     * @param memoryBudget limits the memory of the requests and responses
      * @param upgradedCountListener notified of each change of the number of open connections that have been upgraded to
      *     another protocol
      */
     ClientExchanges(
-            EventLoop eventLoop, ClientConnections<StreamConnection> connections, IntConsumer upgradedCountListener) {
+            EventLoop eventLoop,
+            ClientConnections<StreamConnection> connections,
+            MemoryBudget memoryBudget,
+            IntConsumer upgradedCountListener) {
+        this.memoryBudget = memoryBudget;
         this.upgradedCountListener = upgradedCountListener;
         this.eventLoop = eventLoop;
         this.connections = connections;
@@ -60,14 +67,19 @@
     /** Puts a conduit of the relay below those of Undertow, on a connection that was accepted. */
     void add(StreamConnection connection) {
         ClientReadConduit readConduit = new ClientReadConduit(
-                connection.getSourceChannel().getConduit(), () -> connections.bytesRead(eventLoop.nowUs(), connection));
+                connection.getSourceChannel().getConduit(),
+                new RequestMemory(memoryBudget),
+                () -> connections.bytesRead(eventLoop.nowUs(), connection));
         connection.getSourceChannel().setConduit(readConduit);
         readConduits.put(connection, readConduit);
     }
 
     /** Forgets a connection that is closed. */
     void remove(StreamConnection connection) {
-        readConduits.remove(connection);
+        ClientReadConduit readConduit = readConduits.remove(connection);
+        if (readConduit != null) {
+            readConduit.memory().release();
+        }
         if (upgraded.remove(connection)) {
             upgradedCountListener.accept(upgraded.size());
         }
@@ -104,6 +116,11 @@
         return readConduits.get(connectionOf(exchange)).head();
     }
 
+    /** Returns the memory that is held for the request of an exchange. */
+    RequestMemory memoryOf(HttpServerExchange exchange) {
+        return readConduits.get(connectionOf(exchange)).memory();
+    }
+
     /** Reads ahead what has arrived behind a request, and returns what is known of its client. */
     ClientPresence presenceOf(HttpServerExchange exchange) {
         ClientReadConduit readConduit = readConduits.get(connectionOf(exchange));
@@ -157,6 +174,7 @@
         ClientReadConduit readConduit = readConduits.get(connection);
         if (readConduit != null) {
             readConduit.upgrade();
+            readConduit.memory().release();
         }
         connections.remove(connection);
         if (connection.isOpen() && upgraded.add(connection)) {
--- a/src/main/java/gatelock/http/ClientListener.java
+++ b/src/main/java/gatelock/http/ClientListener.java
@@ -7,6 +7,7 @@
 import gatelock.state.ClientSockets;
 import gatelock.state.Counters;
 import gatelock.state.DescriptorBudget;
+import gatelock.state.MemoryBudget;
 import io.undertow.UndertowOptions;
 import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.server.HttpHandler;
@@ -75,13 +76,14 @@
      * @param counters counts client connections
      * @param descriptors limits the number of client connections; with few more than the hard limit, no more are
      *     accepted
+     * @param memory limits the memory of all requests and responses
      */
-    public ClientListener(EventLoop eventLoop, Counters counters, DescriptorBudget descriptors) {
+    public ClientListener(EventLoop eventLoop, Counters counters, DescriptorBudget descriptors, MemoryBudget memory) {
         this.eventLoop = eventLoop;
         this.descriptors = descriptors;
         this.connections = new ClientConnections<>(
                 counters, new Sockets(), descriptors.softClientLimit(), descriptors.hardClientLimit(0));
-        this.exchanges = new ClientExchanges(eventLoop, connections, this::onSessionCountChanged);
+        this.exchanges = new ClientExchanges(eventLoop, connections, memory, this::onSessionCountChanged);
     }
 
     /** Gives the connection limits access to the sockets of the clients. */
@@ -226,7 +228,10 @@
     private void handleRequest(HttpServerExchange exchange) throws Exception {
         exchanges.begin(exchange);
         String path = exchange.getRequestPath();
-        if (!exchanges.headOf(exchange).isWellFormed()) {
+        RequestHead head = exchanges.headOf(exchange);
+        if (head.isRefused()) {
+            exchanges.reject(exchange, StatusCodes.SERVICE_UNAVAILABLE);
+        } else if (!head.isWellFormed()) {
             exchanges.reject(exchange, StatusCodes.BAD_REQUEST);
         } else if (path.startsWith(INTERNAL_PREFIX)) {
             exchanges.respond(exchange, healthStatus(path));
--- a/src/main/java/gatelock/http/ClientReadConduit.java
+++ b/src/main/java/gatelock/http/ClientReadConduit.java
@@ -22,11 +22,14 @@
     private static final int MAX_READS_PER_ROUND = 4;
 
     private final Runnable readListener;
+    private final RequestMemory memory;
     private final ReadAheadBuffer unread = new ReadAheadBuffer();
     /** Whether the next bytes are those of a head that has not arrived completely. */
     private boolean awaitsHead = true;
 
     private boolean upgraded;
+    /** Whether the head that is awaited is refused, because there is no memory for it. */
+    private boolean headRefused;
     /** The end of the stream, or a broken connection, has been read. */
     private boolean ended;
     /** Whether reads are paused, and whether the reader wants to be called for bytes that arrive. */
@@ -39,11 +42,17 @@
     private ByteBuffer headForParser = ByteBuffer.allocate(0);
 
     /** Creates a conduit for a new connection, on which a head comes first. */
-    ClientReadConduit(StreamSourceConduit next, Runnable readListener) {
+    ClientReadConduit(StreamSourceConduit next, RequestMemory memory, Runnable readListener) {
         super(next);
+        this.memory = memory;
         this.readListener = readListener;
     }
 
+    /** Returns the memory that is held for the current request. */
+    RequestMemory memory() {
+        return memory;
+    }
+
     /** Returns the head of the current request; one that is longer than the relay accepts is not well-formed. */
     RequestHead head() {
         return head;
@@ -52,6 +61,8 @@
     /** Expects the head of the next request, unless the connection was upgraded to another protocol. */
     void awaitHead() {
         awaitsHead = !upgraded;
+        head = null;
+        memory.release();
     }
 
     /** Lets the reader wait for further bytes, whether or not they have arrived. */
@@ -154,19 +165,46 @@
     private boolean readHead() throws IOException {
         byte[] bytes = unread.takeHead();
         boolean mayHaveMore = !ended;
-        for (int reads = 0; bytes == null && mayHaveMore && !unread.isFull() && reads < MAX_READS_PER_ROUND; reads++) {
+        for (int reads = 0; mayReadHead(bytes) && mayHaveMore && reads < MAX_READS_PER_ROUND; reads++) {
             mayHaveMore = readOnce() > 0;
             bytes = unread.takeHead();
+            headRefused = headRefused || (bytes == null && !holdIncompleteHead());
         }
-        if (bytes == null && !unread.isFull()) {
+        if (mayReadHead(bytes)) {
             return false;
         }
         awaitsHead = false;
-        head = new RequestHead(bytes == null ? new byte[0] : bytes);
+        head = toHead(bytes);
         headForParser = ByteBuffer.wrap(head.forParser());
         return true;
     }
 
+    private boolean mayReadHead(byte[] completeHead) {
+        return completeHead == null && !unread.isFull() && !headRefused;
+    }
+
+    private boolean holdIncompleteHead() {
+        return memory.holdIncompleteHead(unread.capacity(), this::refuseHead);
+    }
+
+    /** Ends a head that has not arrived completely, because its memory is needed for others. */
+    private void refuseHead() {
+        headRefused = true;
+        unread.clear();
+        next.wakeupReads();
+    }
+
+    private RequestHead toHead(byte[] bytes) {
+        boolean refused = headRefused || (bytes != null && !memory.holdHead(bytes));
+        headRefused = false;
+        if (refused) {
+            unread.clear();
+            memory.release();
+            return RequestHead.refused();
+        }
+        return new RequestHead(bytes == null ? new byte[0] : bytes);
+    }
+
     private int drainHeadTo(ByteBuffer target) {
         int count = Math.min(headForParser.remaining(), target.remaining());
         target.put(target.position(), headForParser, headForParser.position(), count);
--- a/src/main/java/gatelock/http/HttpResponseSink.java
+++ b/src/main/java/gatelock/http/HttpResponseSink.java
@@ -21,6 +21,7 @@
     private final HttpServerExchange exchange;
     private final ClientExchanges exchanges;
     private final RequestAdmitter admitter;
+    private final RequestMemory memory;
     private InFlightRequest request;
     private Consumer<HttpServerExchange> sessionHandover;
 
@@ -28,6 +29,7 @@
         this.exchange = exchange;
         this.exchanges = exchanges;
         this.admitter = admitter;
+        this.memory = exchanges.memoryOf(exchange);
     }
 
     /** Sets the request to which this sink belongs, before it is admitted. */
@@ -82,6 +84,11 @@
         return true;
     }
 
+    @Override
+    public boolean holdResponse(long bytes) {
+        return memory.holdResponse(bytes);
+    }
+
     @Override
     public void forward(UpstreamResponse response) {
         respond(() -> writeResponse(response));
@@ -135,6 +142,7 @@
     }
 
     private void send(byte[] body) {
+        memory.holdOnlyResponse(body.length);
         exchanges.responseStarted(exchange);
         if (body.length == 0) {
             exchange.endExchange();
--- a/src/main/java/gatelock/http/ReadAheadBuffer.java
+++ b/src/main/java/gatelock/http/ReadAheadBuffer.java
@@ -29,6 +29,16 @@
         return end - start;
     }
 
+    /** Returns the memory that the bytes use, with what is reserved for the next ones. */
+    int capacity() {
+        return bytes.length;
+    }
+
+    /** Removes all bytes. */
+    void clear() {
+        consume(size());
+    }
+
     /** Returns whether no more bytes can be read ahead. */
     boolean isFull() {
         return size() >= MAX_BYTES;
--- a/src/main/java/gatelock/http/RequestHead.java
+++ b/src/main/java/gatelock/http/RequestHead.java
@@ -28,6 +28,7 @@
     private final String version;
     private final List<String> headerLines = new ArrayList<>();
     private final boolean wellFormed;
+    private final boolean refused;
     private int headersStart;
 
     /**
@@ -36,6 +37,11 @@
      * @param bytes the head, up to and including the empty line at its end
      */
     RequestHead(byte[] bytes) {
+        this(bytes, false);
+    }
+
+    private RequestHead(byte[] bytes, boolean refused) {
+        this.refused = refused;
         text = new String(bytes, StandardCharsets.ISO_8859_1);
         // RFC 9112, 3: method, target and version, separated by single spaces. The target is not interpreted here.
         String requestLine = readLines();
@@ -53,6 +59,16 @@
                 && headerLines.stream().allMatch(RequestHead::isHeaderLine);
     }
 
+    /** Returns the head of a request for which there is no memory. It is not well-formed. */
+    static RequestHead refused() {
+        return new RequestHead(new byte[0], true);
+    }
+
+    /** Returns whether the head was not read because there is no memory for it. */
+    boolean isRefused() {
+        return refused;
+    }
+
     /** Reads all lines and returns the first one that is not empty, which is the request line. */
     private String readLines() {
         String requestLine = "";
--- a/src/main/java/gatelock/http/RequestReader.java
+++ b/src/main/java/gatelock/http/RequestReader.java
@@ -175,7 +175,7 @@
     }
 
     private void readBody(HttpServerExchange exchange, Admission.MatchedRoute matchedRoute, int route, int length) {
-        BodyReader reader = new BodyReader(length, new BodyReader.Listener() {
+        BodyReader reader = new BodyReader(length, exchanges.memoryOf(exchange), new BodyReader.Listener() {
             @Override
             public void onComplete(byte[] body) {
                 accept(exchange, matchedRoute, route, body);
@@ -186,6 +186,11 @@
                 reject(exchange, StatusCodes.REQUEST_ENTITY_TOO_LARGE);
             }
 
+            @Override
+            public void onRefused() {
+                reject(exchange, StatusCodes.SERVICE_UNAVAILABLE);
+            }
+
             @Override
             public void onAborted() {
                 // The request was never complete, so no response is owed.
@@ -219,6 +224,10 @@
             reject(exchange, StatusCodes.BAD_REQUEST);
             return;
         }
+        if (!exchanges.memoryOf(exchange).holdRequest(body.length)) {
+            reject(exchange, StatusCodes.SERVICE_UNAVAILABLE);
+            return;
+        }
         HttpResponseSink responseSink = new HttpResponseSink(exchange, exchanges, admitter);
         long deadlineUs = deadlineUs(exchange, route);
         boolean opensSession = isSessionRequest(exchange, matchedRoute);
--- a/src/main/java/gatelock/net/OutboundConnection.java
+++ b/src/main/java/gatelock/net/OutboundConnection.java
@@ -39,6 +39,16 @@
             return true;
         }
 
+        /**
+         * Returns whether there is memory for the part of a response that has arrived. If not, its connection is closed
+         * as if the response were too long.
+         *
+         * @param bytes the length of that part
+         */
+        default boolean mayBuffer(int bytes) {
+            return true;
+        }
+
         /**
          * Called when a well-formed response has arrived.
          *
@@ -280,6 +290,9 @@
             lastDataUs = eventLoop.nowUs();
         }
         reader.read(in);
+        if (!request.handler().mayBuffer(reader.bufferedBytes())) {
+            throw new ResponseTooLongException(reader.bufferedBytes());
+        }
         if (!reader.isComplete()) {
             return true;
         }
--- a/src/main/java/gatelock/net/ResponseReader.java
+++ b/src/main/java/gatelock/net/ResponseReader.java
@@ -81,6 +81,11 @@
         return keepAlive;
     }
 
+    /** Returns the length of the part of the body that is buffered. */
+    int bufferedBytes() {
+        return body.size();
+    }
+
     /**
      * Returns whether the complete response is a switch to another protocol. What follows it belongs to that protocol.
      */
--- a/src/main/java/gatelock/net/ResponseTooLongException.java
+++ b/src/main/java/gatelock/net/ResponseTooLongException.java
@@ -4,6 +4,11 @@
 public final class ResponseTooLongException extends MalformedResponseException {
     private static final long serialVersionUID = 1L;
 
+    /** Creates an exception for a response of which no more can be buffered. */
+    ResponseTooLongException(long bufferedBytes) {
+        super("no memory for a body of at least " + bufferedBytes + " bytes");
+    }
+
     private ResponseTooLongException(String length, long maxBytes) {
         super("body of " + length + " bytes is longer than " + maxBytes);
     }
--- a/src/main/java/gatelock/pipeline/AttemptSender.java
+++ b/src/main/java/gatelock/pipeline/AttemptSender.java
@@ -169,6 +169,11 @@
             return !withdrawn;
         }
 
+        @Override
+        public boolean mayBuffer(int bytes) {
+            return request.isCompleted() || request.responseSink().holdResponse(bytes);
+        }
+
         @Override
         public void onTimeout() {
             end(AttemptResult.TIMED_OUT, null);
--- a/src/main/java/gatelock/state/ResponseSink.java
+++ b/src/main/java/gatelock/state/ResponseSink.java
@@ -17,6 +17,16 @@
      */
     boolean endIfClientLeft();
 
+    /**
+     * Holds memory for the part of a response that has arrived.
+     *
+     * @param bytes the length of that part
+     * @return whether there is room for it
+     */
+    default boolean holdResponse(long bytes) {
+        return true;
+    }
+
     /** Forwards an endpoint's response. */
     void forward(UpstreamResponse response);
 
--- a/src/test/java/gatelock/http/ClientListenerTest.java
+++ b/src/test/java/gatelock/http/ClientListenerTest.java
@@ -6,6 +6,7 @@
 import gatelock.net.EventLoop;
 import gatelock.state.Counters;
 import gatelock.state.DescriptorBudget;
+import gatelock.state.MemoryBudget;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
@@ -35,7 +36,8 @@
         List<Socket> connected = new ArrayList<>();
         try {
             EventLoop eventLoop = new EventLoop(worker.getIoThread());
-            ClientListener listener = new ClientListener(eventLoop, new Counters(), new DescriptorBudget(800));
+            ClientListener listener = new ClientListener(
+                    eventLoop, new Counters(), new DescriptorBudget(800), new MemoryBudget(new Counters(), 1 << 24));
             InetSocketAddress address = listener.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
             listener.setRequestHandler(
                     exchange -> {
--- a/src/test/java/gatelock/pipeline/FaultyPipeline.java
+++ b/src/test/java/gatelock/pipeline/FaultyPipeline.java
@@ -14,6 +14,7 @@
 import gatelock.state.DescriptorBudget;
 import gatelock.state.EndpointAddresses;
 import gatelock.state.InFlightRequests;
+import gatelock.state.MemoryBudget;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -33,6 +34,7 @@
     static final int RESPONSE_TIMEOUT_MS = 1_500;
 
     private static final int MAX_DESCRIPTORS = 800;
+    private static final int MAX_REQUEST_BYTES = 1 << 24;
     private static final long CONNECT_TIMEOUT_US = 250_000;
     private static final long IDLE_TIMEOUT_US = 2_000_000;
     private static final long LATENCY_OBJECTIVE_US = 100_000;
@@ -52,7 +54,11 @@
     FaultyPipeline(Admission admission) throws Exception {
         worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
         eventLoop = new EventLoop(worker.getIoThread());
-        listener = new ClientListener(eventLoop, counters, new DescriptorBudget(MAX_DESCRIPTORS));
+        listener = new ClientListener(
+                eventLoop,
+                counters,
+                new DescriptorBudget(MAX_DESCRIPTORS),
+                new MemoryBudget(counters, MAX_REQUEST_BYTES));
         address = listener.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
         listener.setRequestHandler(assemble(admission), true);
     }
