--- a/deploy/relay.sh
+++ b/deploy/relay.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Starts a relay as the platform does, in this process, with a heap that fits into `limits.memory_mb` of the configuration
 # that PROXY_CONFIG names. Uses only builtins of the shell, as the platform does not let a relay start other programs.
-# The arguments are those of the command `serve`. RELAY_PROGRAM names another program than the built jar.
+# The arguments are those of the command `serve`; with the argument `flags` it prints the flags of the virtual machine and
+# exits. RELAY_PROGRAM names another program than the built jar.
 
 # Resident memory of a relay without its Java heap: the virtual machine, its class archive, compiled code, thread stacks,
 # buffers.
@@ -43,5 +44,9 @@
 if [[ -z ${RELAY_PROGRAM:-} ]]; then
     flags+=(-XX:SharedArchiveFile=target/gatelock.jsa)
 fi
+if [[ ${1:-} == flags ]]; then
+    printf '%s\n' "${flags[@]}"
+    exit 0
+fi
 # shellcheck disable=SC2086 # The program may have arguments of its own.
 exec "${JAVA_HOME:+$JAVA_HOME/bin/}java" "${flags[@]}" ${RELAY_PROGRAM:--jar target/gatelock.jar} serve "$@"
--- a/src/test/java/gatelock/standin/RelayProcess.java
+++ b/src/test/java/gatelock/standin/RelayProcess.java
@@ -17,8 +17,13 @@
 /** A relay process that is started from the program's jar as the platform does, with access to its resource use. */
 public final class RelayProcess implements AutoCloseable {
     private static final Path PLATFORM_CONFIG = Path.of("deploy/balancer.toml");
-    private static final Pattern RUN_LINE =
+    private static final Path LAUNCHER = Path.of("deploy/relay.sh");
+    private static final Pattern RUN_LINE = Pattern.compile("(?m)^run = \"(.*)\"$");
+    private static final Pattern RUN_LINE_WITH_FLAGS =
             Pattern.compile("(?m)^run = \"exec java (.*) -jar (\\S+) serve( --operator \\S+)?\"$");
+    /** The environment variable that names the program that the launcher starts in place of the jar. */
+    private static final String PROGRAM_VARIABLE = "RELAY_PROGRAM";
+
     private static final Pattern OLD_GENERATION = Pattern.compile("tenured generation\\s+total \\d+K, used (\\d+)K");
     private static final int READY_POLL_MS = 5;
     private static final long THROTTLE_PERIOD_MS = 100;
@@ -36,30 +41,37 @@
         this.process = process;
     }
 
-    /** Returns the JVM flags of the run line in deploy/balancer.toml. */
+    /** Returns the JVM flags that the launcher passes without a configuration, which are those of the largest heap. */
     public static List<String> flags() throws IOException {
-        return flags(PLATFORM_CONFIG);
+        Process launcher = new ProcessBuilder("bash", LAUNCHER.toString(), "flags").start();
+        return new String(launcher.getInputStream().readAllBytes(), StandardCharsets.UTF_8)
+                .lines()
+                .toList();
     }
 
-    /** Returns the JVM flags of the run line in a platform configuration. */
+    /** Returns the JVM flags of a platform configuration, whose run line may name them or the launcher. */
     static List<String> flags(Path platformConfig) throws IOException {
-        Matcher runLine = RUN_LINE.matcher(Files.readString(platformConfig));
+        Matcher runLine = RUN_LINE_WITH_FLAGS.matcher(Files.readString(platformConfig));
+        return runLine.find() ? List.of(runLine.group(1).split(" ", -1)) : flags();
+    }
+
+    private static String runLine() throws IOException {
+        Matcher runLine = RUN_LINE.matcher(Files.readString(PLATFORM_CONFIG));
         if (!runLine.find()) {
-            throw new IOException(
-                    platformConfig + " has no line of the form run = \"exec java FLAGS -jar FILE serve\"");
+            throw new IOException(PLATFORM_CONFIG + " has no line of the form run = \"COMMAND\"");
         }
-        return List.of(runLine.group(1).split(" ", -1));
+        return runLine.group(1);
     }
 
     /**
-     * Starts a relay with the platform's flags.
+     * Starts a relay as the platform does.
      *
      * @param directory where the configuration and the log are written
      * @param port port on which clients connect
      * @param configuration text of the configuration, which must name the same port
      */
     public static RelayProcess start(Path directory, int port, String configuration) throws IOException {
-        return start(directory, port, configuration, flags(), List.of());
+        return start(directory, port, configuration, List.of("/bin/sh", "-c", runLine()), "");
     }
 
     /**
@@ -74,11 +86,15 @@
     static RelayProcess start(
             Path directory, int port, String configuration, List<String> flags, List<String> arguments)
             throws IOException {
-        return start(directory, port, configuration, flags, List.of("-jar", "target/gatelock.jar"), arguments);
+        List<String> command = new ArrayList<>(List.of(jdkTool("java")));
+        command.addAll(flags);
+        command.addAll(List.of("-jar", "target/gatelock.jar", "serve"));
+        command.addAll(arguments);
+        return start(directory, port, configuration, command, "");
     }
 
     /**
-     * Starts a relay with the platform's flags from the classes that the tests are compiled against, not from the jar.
+     * Starts a relay as the platform does, but from the classes that the tests are compiled against, not from the jar.
      *
      * @param directory where the configuration and the log are written
      * @param port port on which clients connect
@@ -87,32 +103,21 @@
      */
     public static RelayProcess startFromClasses(Path directory, int port, String configuration, String... arguments)
             throws IOException {
-        List<String> flags = flags().stream()
-                .filter(flag -> !flag.startsWith("-XX:SharedArchiveFile"))
-                .toList();
-        List<String> program = List.of("-cp", System.getProperty("java.class.path"), "gatelock.boot.Main");
-        return start(directory, port, configuration, flags, program, List.of(arguments));
+        String command = String.join(" ", runLine(), String.join(" ", arguments));
+        String program = "-cp " + System.getProperty("java.class.path") + " gatelock.boot.Main";
+        return start(directory, port, configuration, List.of("/bin/sh", "-c", command), program);
     }
 
     private static RelayProcess start(
-            Path directory,
-            int port,
-            String configuration,
-            List<String> flags,
-            List<String> program,
-            List<String> arguments)
-            throws IOException {
+            Path directory, int port, String configuration, List<String> command, String program) throws IOException {
         Path config = directory.resolve("relay-" + port + ".json");
         Files.writeString(config, configuration);
-        List<String> command = new ArrayList<>(List.of(jdkTool("java")));
-        command.addAll(flags);
-        command.addAll(program);
-        command.add("serve");
-        command.addAll(arguments);
         Path log = directory.resolve("relay-" + port + ".log");
         ProcessBuilder builder =
                 new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(log.toFile());
         builder.environment().put("PROXY_CONFIG", config.toString());
+        builder.environment().put("JAVA_HOME", System.getProperty("java.home"));
+        builder.environment().put(PROGRAM_VARIABLE, program);
         return new RelayProcess(port, log, ChildProcesses.start(builder));
     }
 
