--- a/src/test/java/gatelock/standin/RelayProcess.java
+++ b/src/test/java/gatelock/standin/RelayProcess.java
@@ -9,7 +9,9 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -71,7 +73,7 @@
      * @param configuration text of the configuration, which must name the same port
      */
     public static RelayProcess start(Path directory, int port, String configuration) throws IOException {
-        return start(directory, port, configuration, List.of("/bin/sh", "-c", runLine()), "");
+        return start(directory, port, configuration, List.of("/bin/sh", "-c", runLine()), Map.of());
     }
 
     /**
@@ -90,7 +92,7 @@
         command.addAll(flags);
         command.addAll(List.of("-jar", "target/gatelock.jar", "serve"));
         command.addAll(arguments);
-        return start(directory, port, configuration, command, "");
+        return start(directory, port, configuration, command, Map.of());
     }
 
     /**
@@ -103,13 +105,23 @@
      */
     public static RelayProcess startFromClasses(Path directory, int port, String configuration, String... arguments)
             throws IOException {
+        return startFromClasses(directory, port, configuration, Map.of(), arguments);
+    }
+
+    /** Starts a relay in the same way, with further variables in its environment. */
+    public static RelayProcess startFromClasses(
+            Path directory, int port, String configuration, Map<String, String> environment, String... arguments)
+            throws IOException {
         String command = String.join(" ", runLine(), String.join(" ", arguments));
         String program = "-cp " + System.getProperty("java.class.path") + " gatelock.boot.Main";
-        return start(directory, port, configuration, List.of("/bin/sh", "-c", command), program);
+        Map<String, String> variables = new HashMap<>(environment);
+        variables.put(PROGRAM_VARIABLE, program);
+        return start(directory, port, configuration, List.of("/bin/sh", "-c", command), variables);
     }
 
     private static RelayProcess start(
-            Path directory, int port, String configuration, List<String> command, String program) throws IOException {
+            Path directory, int port, String configuration, List<String> command, Map<String, String> variables)
+            throws IOException {
         Path config = directory.resolve("relay-" + port + ".json");
         Files.writeString(config, configuration);
         Path log = directory.resolve("relay-" + port + ".log");
@@ -117,7 +129,7 @@
                 new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(log.toFile());
         builder.environment().put("PROXY_CONFIG", config.toString());
         builder.environment().put("JAVA_HOME", System.getProperty("java.home"));
-        builder.environment().put(PROGRAM_VARIABLE, program);
+        builder.environment().putAll(variables);
         return new RelayProcess(port, log, ChildProcesses.start(builder));
     }
 
