Accept again 10 ms after accepting a connection has failed

Callers saw: 112 of 120 new clients unanswered while every second accept failed with ENFILE for 6 s. Cause: after a failed accept XNIO accepts nothing for 250 ms at first and twice as long after each further failure without a success in between, up to 30 s; it has no option for it. Class of bug: a wait in a library that grows beyond the deadlines of the requests behind it.

Change: AcceptBackOff ends that wait after 10 ms, on the thread that accepts, by XNIO's private state; an unknown version fails the start of the listener, so a test shows it. XNIO's warnings are logged once a second; each failure is counted ('accept failed').

--- a/src/main/java/gatelock/http/ClientListener.java
+++ b/src/main/java/gatelock/http/ClientListener.java
@@ -54,6 +54,7 @@
     private static final String HEALTHY_PATH = "/-/healthy";
 
     private final EventLoop eventLoop;
+    private final Counters counters;
     private final DescriptorBudget descriptors;
     private IntConsumer sessionCountListener = sessions -> {};
     private final ClientConnections<StreamConnection> connections;
@@ -80,6 +81,7 @@
      */
     public ClientListener(EventLoop eventLoop, Counters counters, DescriptorBudget descriptors, MemoryBudget memory) {
         this.eventLoop = eventLoop;
+        this.counters = counters;
         this.descriptors = descriptors;
         this.connections = new ClientConnections<>(
                 counters, new Sockets(), descriptors.softClientLimit(), descriptors.hardClientLimit(0));
@@ -131,6 +133,8 @@
                         address,
                         ChannelListeners.openListenerAdapter(connection -> onAccepted(connection, httpListener)),
                         socketOptions);
+        AcceptBackOff.limit(acceptor, () -> eventLoop.execute(() -> counters.increment("accept failed")));
+        RepeatedWarningFilter.install();
         acceptor.resumeAccepts();
         eventLoop.scheduleRepeatedly(CHECK_INTERVAL_US, () -> connections.closeOverdue(eventLoop.nowUs()));
         return acceptor.getLocalAddress(InetSocketAddress.class);
