--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 .PHONY: build demo test format lint run measure-plan measure-swarm measure-sessions measure-fleet scale \
-	measure-membership measure-list measure-pressure capacity measure-capacity
+	measure-membership measure-list measure-pressure capacity measure-capacity soak-shutdown
 
 build:
 	mvn -B -q -DskipTests package
@@ -99,3 +99,10 @@
 	mvn -B -q -DskipTests package dependency:build-classpath -Dmdep.outputFile=target/test.classpath
 	java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xmx4g -cp "target/classes:target/test-classes:$$(cat target/test.classpath)" \
 		gatelock.capacity.Slopes docs/capacity/slopes.json
+
+# Shuts relays down under load, seeds FIRST to LAST, and prints the requests that were lost.
+FIRST ?= 1
+LAST ?= 50
+soak-shutdown:
+	mvn -B -q -DskipTests package dependency:build-classpath -Dmdep.outputFile=target/test.classpath
+	java -cp "target/classes:target/test-classes:$$(cat target/test.classpath)" gatelock.standin.ShutdownSoak $(FIRST) $(LAST)
--- a/src/test/java/gatelock/AcceptFailureTest.java
+++ b/src/test/java/gatelock/AcceptFailureTest.java
@@ -33,7 +33,7 @@
             try (RelayProcess relay =
                     RelayProcess.startFromClasses(directory, port, configuration, faults.environment())) {
                 assertThat(relay.awaitReadyMs(READY_MS)).isPositive();
-                faults.fail("accept", SyscallFaults.ENFILE, 2);
+                faults.fail("accept", SyscallFaults.ErrorNumber.ENFILE, 2);
                 ClientPressure.Outcome outcome =
                         new ClientPressure(relay, deployment, SEED).run(ClientPressure.Kind.ORDINARY_ONLY, SECONDS);
                 faults.end();
--- a/src/test/java/gatelock/standin/RelayProcess.java
+++ b/src/test/java/gatelock/standin/RelayProcess.java
@@ -213,7 +213,8 @@
         }
     }
 
-    private void signal(String name) throws IOException, InterruptedException {
+    /** Sends a signal to the process. */
+    public void signal(String name) throws IOException, InterruptedException {
         new ProcessBuilder("kill", "-" + name, "" + process.pid()).start().waitFor();
     }
 
@@ -269,9 +270,14 @@
         process.waitFor();
     }
 
-    /** Kills the relay and waits until it has ended; an interrupt ends the wait. */
+    /** Kills the relay, if it has not ended. */
     @Override
     public void close() {
+        kill();
+    }
+
+    /** Kills the relay and waits until it has ended; an interrupt ends the wait. */
+    void kill() {
         try {
             process.destroyForcibly().waitFor();
         } catch (InterruptedException e) {
--- a/src/test/java/gatelock/standin/SyscallFaults.java
+++ b/src/test/java/gatelock/standin/SyscallFaults.java
@@ -9,8 +9,23 @@
 
 /** System calls of a relay process that fail, by a library that is compiled with the C compiler of the machine. */
 public final class SyscallFaults {
-    /** The file table of the system is full. */
-    public static final int ENFILE = 23;
+    /** The error numbers of Linux, which are the same on x86-64 and arm64. */
+    public enum ErrorNumber {
+        /** The file table of the system is full. */
+        ENFILE(23),
+        /** The local addresses or ports are used up. */
+        EADDRNOTAVAIL(99),
+        /** There is no route to the network. */
+        ENETUNREACH(101),
+        /** There is no memory for buffers. */
+        ENOBUFS(105);
+
+        private final int number;
+
+        ErrorNumber(int number) {
+            this.number = number;
+        }
+    }
 
     private static final Path SOURCE = Path.of("src/test/native/syscall_faults.c");
     private static final long COMPILE_TIMEOUT_S = 60;
@@ -37,9 +52,9 @@
     }
 
     /** Lets every {@code period}-th call of this name fail with an error number from now on. */
-    public void fail(String call, int error, int period) throws IOException {
+    public void fail(String call, ErrorNumber error, int period) throws IOException {
         Path next = faultSwitch.resolveSibling("faults.next");
-        Files.writeString(next, call + " " + error + " " + period + "\n");
+        Files.writeString(next, call + " " + error.number + " " + period + "\n");
         Files.move(next, faultSwitch, StandardCopyOption.ATOMIC_MOVE);
     }
 
