--- a/src/main/java/gatelock/boot/RelayService.java
+++ b/src/main/java/gatelock/boot/RelayService.java
@@ -289,7 +289,8 @@
                 Level.INFO,
                 counters + "; requests in flight " + pipeline.inFlight().size() + ", clients " + clientListener.size()
                         + ", endpoints "
-                        + pipeline.endpointPool() + endpointListState());
+                        + pipeline.endpointPool() + "; held for requests " + memory.heldBytes() + " of "
+                        + memory.maxBytes() + " bytes" + endpointListState());
         eventLoop.schedule(COUNTERS_INTERVAL_US, this::logCounters);
     }
 
--- a/src/main/java/gatelock/boot/RequestPipeline.java
+++ b/src/main/java/gatelock/boot/RequestPipeline.java
@@ -92,7 +92,7 @@
                 config.settings().idleConnectionUs(),
                 ENDPOINT_REUSE_DELAY_US,
                 descriptors.endpointConnections(0));
-        clientListener.onSessionCountChanged(
+        clientListener.setSessionCountListener(
                 count -> endpointPool.setMaxConnections(descriptors.endpointConnections(count)));
         ResponseWriter responseWriter = new ResponseWriter(eventLoop, inFlight, counters);
         OutcomeRecorder outcomes = new OutcomeRecorder(eventLoop, inFlight, counters, responseWriter);
--- a/src/main/java/gatelock/http/ClientListener.java
+++ b/src/main/java/gatelock/http/ClientListener.java
@@ -217,7 +217,7 @@
     }
 
     /** Sets what is notified of each change of the number of open client connections that have become sessions. */
-    public void onSessionCountChanged(IntConsumer listener) {
+    public void setSessionCountListener(IntConsumer listener) {
         sessionCountListener = listener;
     }
 
