--- a/src/main/java/gatelock/http/AcceptBackOff.java
+++ b/src/main/java/gatelock/http/AcceptBackOff.java
@@ -25,7 +25,8 @@
     private final XnioIoThread acceptThread;
 
     private AcceptBackOff(Object server) throws ReflectiveOperationException {
-        handle = Array.get(accessible(server.getClass().getDeclaredField("handles")).get(server), 0);
+        handle = Array.get(
+                accessible(server.getClass().getDeclaredField("handles")).get(server), 0);
         active = accessible(handle.getClass().getDeclaredField("backOff"));
         end = accessible(handle.getClass().getDeclaredMethod("endBackOff"));
         Method workerThread = accessible(handle.getClass().getSuperclass().getDeclaredMethod("getWorkerThread"));
@@ -40,8 +41,8 @@
      */
     static void limit(AcceptingChannel<?> acceptor, Runnable onFailure) throws IOException {
         try {
-            Object server =
-                    accessible(acceptor.getClass().getDeclaredField("realServer")).get(acceptor);
+            Object server = accessible(acceptor.getClass().getDeclaredField("realServer"))
+                    .get(acceptor);
             watch(server, new AcceptBackOff(server), onFailure);
         } catch (ReflectiveOperationException e) {
             throw new IOException("unknown version of XNIO", e);
